--- /dev/null
+++ b/packages/agent/include/agent/directory_registrar.h
@@ -0,0 +1,57 @@
+#ifndef SESAMESADDLE_AGENT_DIRECTORY_REGISTRAR_H_
+#define SESAMESADDLE_AGENT_DIRECTORY_REGISTRAR_H_
+
+#include <map>
+#include <vector>
+
+#include "core/time.h"
+#include "node/control_plane.h"
+#include "node/outbox.h"
+
+namespace sesamesaddle {
+
+/**
+ * Tells homes which flows this agent owns or has given up, in bounded batches
+ * that are repeated until they are acknowledged.
+ */
+class DirectoryRegistrar {
+ public:
+  static constexpr size_t kEntriesPerBatch = 24;
+  /** Batches a home may have unacknowledged; bounds a re-registration. */
+  static constexpr size_t kBatchesInFlight = 4;
+  static constexpr Duration kRetry = std::chrono::milliseconds(150);
+
+  explicit DirectoryRegistrar(ControlPlane& control) : control_(control) {}
+
+  void Register(MemberId home, const schema::DirectoryEntry& entry);
+  void Remove(MemberId home, const schema::DirectoryEntry& entry);
+  void OnAck(const schema::DirectoryAck& ack);
+  void OnTick(TimePoint now, Outbox& out);
+  void ForgetHome(MemberId home);
+  bool idle() const { return waiting_.empty() && in_flight_.empty(); }
+
+ private:
+  struct Waiting {
+    std::vector<schema::DirectoryEntry> entries;
+    std::vector<schema::DirectoryEntry> removed;
+  };
+  struct InFlight {
+    MemberId home;
+    schema::DirectoryUpdate update;
+    TimePoint next_send;
+  };
+
+  void Send(TimePoint now, InFlight& batch, Outbox& out);
+  void StartBatches(TimePoint now, MemberId home, Waiting& waiting,
+                    Outbox& out);
+
+  ControlPlane& control_;
+  std::map<MemberId, Waiting> waiting_;
+  std::map<int64_t, InFlight> in_flight_;
+  std::map<MemberId, size_t> in_flight_count_;
+  int64_t next_batch_ = 1;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_AGENT_DIRECTORY_REGISTRAR_H_
--- /dev/null
+++ b/packages/agent/src/feed_publisher.cc
@@ -0,0 +1,267 @@
+#include "agent/feed_publisher.h"
+
+#include <algorithm>
+
+namespace sesamesaddle {
+namespace {
+
+constexpr int kNotModified = 304;
+constexpr int kOk = 200;
+constexpr uint32_t kSequenceMask = 0xffffff;  // RFC 7641, section 4.4.
+// What the earlier owner may have sent after it handed the feed over.
+constexpr uint32_t kHandoverSequenceGap = 16;
+
+}  // namespace
+
+FeedPublisher::FeedPublisher(const FeedOptions& options,
+                             std::function<CallId()> new_call, Send send)
+    : options_(options),
+      new_call_(std::move(new_call)),
+      send_(std::move(send)) {}
+
+uint32_t FeedPublisher::Register(TimePoint now, const Flow& flow,
+                                 const std::string& token, const Topic& topic,
+                                 const TopicState& state, Outbox& out) {
+  Feed* known = FindFeed(flow, token);
+  if (known != nullptr && !(known->topic == topic)) {
+    Remove(flow, token, out);
+    known = nullptr;
+  }
+  Feed& feed = known != nullptr ? *known : Add(flow, token, topic);
+  feed.sequence = (feed.sequence + 1) & kSequenceMask;
+  feed.sent_tag = state.entity_tag;
+  feed.pending = false;
+  feed.has_news = false;
+  feed.next_send = now + options_.keepalive;
+  Poll& poll = polls_[topic];
+  if (!poll.known) {
+    poll.state = state;
+    poll.known = true;
+  }
+  if (poll.call == CallId() && now >= poll.next_start) {
+    StartPoll(now, topic, poll, out);
+  }
+  return feed.sequence;
+}
+
+void FeedPublisher::Deregister(const Flow& flow, const std::string& token,
+                               Outbox& out) {
+  Remove(flow, token, out);
+}
+
+bool FeedPublisher::OnAcknowledged(TimePoint now, const Flow& flow,
+                                   uint16_t message_id, Outbox& out) {
+  Feed* feed = FindPending(flow, message_id);
+  if (feed == nullptr) return false;
+  ++counters_.acknowledged;
+  feed->pending = false;
+  feed->sends = 0;
+  feed->next_send = now + options_.keepalive;
+  if (feed->has_news) SendNewest(now, flow, *feed, out);
+  return true;
+}
+
+void FeedPublisher::OnReset(const Flow& flow, uint16_t message_id,
+                            Outbox& out) {
+  const Feed* feed = FindPending(flow, message_id);
+  if (feed != nullptr) Remove(flow, std::string(feed->token), out);
+}
+
+bool FeedPublisher::OnTargetAnswer(TimePoint now, CallId id,
+                                   const TargetAnswer& answer, Outbox& out) {
+  const auto call = calls_.find(id);
+  if (call == calls_.end()) return false;
+  const Topic topic = call->second;
+  calls_.erase(call);
+  const auto it = polls_.find(topic);
+  if (it == polls_.end()) return true;
+  Poll& poll = it->second;
+  poll.call = CallId();
+  const bool whole = answer.kind == TargetAnswer::Kind::kWhole;
+  if (whole && (answer.status == kOk || answer.status == kNotModified)) {
+    poll.retry = Duration::zero();
+    if (answer.status == kOk) {
+      OnNewState(now, poll,
+                 {answer.entity_tag, answer.content_type, answer.body}, out);
+    }
+    StartPoll(now, topic, poll, out);
+    return true;
+  }
+  poll.retry = std::clamp(poll.retry * 2, options_.first_poll_retry,
+                          options_.longest_poll_retry);
+  poll.next_start = now + poll.retry;
+  return true;
+}
+
+void FeedPublisher::OnNewState(TimePoint now, Poll& poll, TopicState state,
+                               Outbox& out) {
+  if (poll.known && poll.state.entity_tag == state.entity_tag) return;
+  poll.state = std::move(state);
+  poll.known = true;
+  for (const auto& [flow, token] : poll.feeds) {
+    Feed* feed = FindFeed(flow, token);
+    if (feed->sent_tag == poll.state.entity_tag) continue;
+    feed->has_news = true;
+    if (!feed->pending) SendNewest(now, flow, *feed, out);
+  }
+}
+
+void FeedPublisher::OnTick(TimePoint now, Outbox& out) {
+  for (auto& [topic, poll] : polls_) {
+    if (poll.call == CallId() && now >= poll.next_start) {
+      StartPoll(now, topic, poll, out);
+    }
+  }
+  std::vector<std::pair<Flow, std::string>> gone;
+  for (auto& [flow, feeds] : feeds_) {
+    for (Feed& feed : feeds) {
+      if (now < feed.next_send || !polls_.at(feed.topic).known) continue;
+      if (feed.pending && feed.sends >= options_.max_sends) {
+        gone.emplace_back(flow, feed.token);
+      } else {
+        SendNewest(now, flow, feed, out);
+      }
+    }
+  }
+  for (const auto& [flow, token] : gone) {
+    ++counters_.given_up;
+    Remove(flow, token, out);
+  }
+}
+
+void FeedPublisher::SendNewest(TimePoint now, const Flow& flow, Feed& feed,
+                               Outbox& out) {
+  const Poll& poll = polls_.at(feed.topic);
+  Notification notification;
+  notification.flow = flow;
+  notification.token = feed.token;
+  feed.sequence = (feed.sequence + 1) & kSequenceMask;
+  notification.sequence = feed.sequence;
+  notification.max_age = options_.max_age;
+  notification.path = feed.topic.path;
+  notification.state = &poll.state;
+  notification.repeated = feed.pending;
+  ++(feed.pending ? counters_.repeated : counters_.notifications);
+  feed.message_id = send_(notification, out);
+  feed.pending = true;
+  feed.has_news = false;
+  feed.sent_tag = poll.state.entity_tag;
+  feed.next_send = now + options_.first_retry * (int64_t{1} << feed.sends);
+  ++feed.sends;
+}
+
+void FeedPublisher::StartPoll(TimePoint now, const Topic& topic, Poll& poll,
+                              Outbox& out) {
+  poll.call = new_call_();
+  calls_[poll.call] = topic;
+  TargetRequest request;
+  request.method = "GET";
+  request.path = topic.path;
+  request.entity_tag = poll.known ? poll.state.entity_tag : "";
+  request.wait = options_.poll_wait;
+  request.deadline = options_.poll_wait + std::chrono::seconds(5);
+  poll.next_start = now;
+  out.Add(StartCall{poll.call, std::move(request)});
+}
+
+std::vector<schema::FeedState> FeedPublisher::Export(const Flow& flow) const {
+  std::vector<schema::FeedState> states;
+  const auto it = feeds_.find(flow);
+  if (it == feeds_.end()) return states;
+  for (const Feed& feed : it->second) {
+    schema::FeedState state;
+    state.token = feed.token;
+    state.path = feed.topic.path;
+    state.sequence = static_cast<int32_t>(feed.sequence);
+    state.entity_tag = feed.sent_tag;
+    states.push_back(std::move(state));
+  }
+  return states;
+}
+
+void FeedPublisher::Import(TimePoint now, const Flow& flow, ServiceId service,
+                           const schema::FeedState& state, Outbox& out) {
+  if (FindFeed(flow, state.token) != nullptr) return;
+  const Topic topic{service, state.path};
+  Feed& feed = Add(flow, state.token, topic);
+  feed.sequence = (static_cast<uint32_t>(state.sequence) +
+                   kHandoverSequenceGap) & kSequenceMask;
+  feed.sent_tag = state.entity_tag;
+  // Whether the last notification arrived is unknown: send the state again.
+  feed.next_send = now;
+  Poll& poll = polls_[topic];
+  if (poll.call == CallId() && now >= poll.next_start) {
+    StartPoll(now, topic, poll, out);
+  }
+}
+
+void FeedPublisher::RemoveFlow(const Flow& flow, Outbox& out) {
+  while (true) {
+    const auto it = feeds_.find(flow);
+    if (it == feeds_.end()) return;
+    Remove(flow, std::string(it->second.front().token), out);
+  }
+}
+
+size_t FeedPublisher::CountOf(const Flow& flow) const {
+  const auto it = feeds_.find(flow);
+  return it == feeds_.end() ? 0 : it->second.size();
+}
+
+FeedPublisher::Feed& FeedPublisher::Add(const Flow& flow,
+                                        const std::string& token,
+                                        const Topic& topic) {
+  Feed feed;
+  feed.token = token;
+  feed.topic = topic;
+  polls_[topic].feeds.insert({flow, token});
+  ++count_;
+  auto& feeds = feeds_[flow];
+  feeds.push_back(std::move(feed));
+  return feeds.back();
+}
+
+void FeedPublisher::Remove(const Flow& flow, const std::string& token,
+                           Outbox& out) {
+  const auto it = feeds_.find(flow);
+  if (it == feeds_.end()) return;
+  auto& feeds = it->second;
+  const auto feed = std::find_if(feeds.begin(), feeds.end(), [&](const Feed& f) {
+    return f.token == token;
+  });
+  if (feed == feeds.end()) return;
+  const auto poll = polls_.find(feed->topic);
+  poll->second.feeds.erase({flow, token});
+  if (poll->second.feeds.empty()) {
+    if (poll->second.call != CallId()) {
+      calls_.erase(poll->second.call);
+      out.Add(CancelCall{poll->second.call});
+    }
+    polls_.erase(poll);
+  }
+  feeds.erase(feed);
+  --count_;
+  if (feeds.empty()) feeds_.erase(it);
+}
+
+FeedPublisher::Feed* FeedPublisher::FindFeed(const Flow& flow,
+                                             const std::string& token) {
+  const auto it = feeds_.find(flow);
+  if (it == feeds_.end()) return nullptr;
+  for (Feed& feed : it->second) {
+    if (feed.token == token) return &feed;
+  }
+  return nullptr;
+}
+
+FeedPublisher::Feed* FeedPublisher::FindPending(const Flow& flow,
+                                                uint16_t message_id) {
+  const auto it = feeds_.find(flow);
+  if (it == feeds_.end()) return nullptr;
+  for (Feed& feed : it->second) {
+    if (feed.pending && feed.message_id == message_id) return &feed;
+  }
+  return nullptr;
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/agent/src/handover.cc
@@ -0,0 +1,117 @@
+#include "agent/handover.h"
+
+#include "schema/codec.h"
+
+namespace sesamesaddle {
+
+Handover::Handover(ControlPlane& control, FlowRegistry& flows,
+                   Export export_flow, Gone gone, Doubtful doubtful)
+    : control_(control),
+      flows_(flows),
+      export_flow_(std::move(export_flow)),
+      gone_(std::move(gone)),
+      doubtful_(std::move(doubtful)) {}
+
+bool Handover::Start(TimePoint /*now*/, const Flow& flow, MemberId to) {
+  OwnedFlow* owned = flows_.Find(flow);
+  if (owned == nullptr || owned->handing_over || owned->running > 0) {
+    return false;
+  }
+  owned->handing_over = true;
+  // Every attempt has an epoch of its own, so that of two agents that both
+  // took the flow the directory knows the later one.
+  owned->epoch = Epoch(owned->epoch.value() + 1);
+  schema::FlowState state = export_flow_(flow);
+  state.epoch = owned->epoch.value();
+  collected_[to].push_back(std::move(state));
+  ++under_way_;
+  return true;
+}
+
+void Handover::Flush(TimePoint now, Outbox& out) {
+  for (auto& [to, states] : collected_) {
+    size_t next = 0;
+    while (next < states.size()) {
+      Batch batch;
+      batch.to = to;
+      batch.message.batch = next_batch_++;
+      batch.message.sender = control_.self_id().value();
+      size_t bytes = 0;
+      while (next < states.size() &&
+             batch.message.flows.size() < kFlowsPerBatch) {
+        const size_t size = EncodeCompact(states[next]).size();
+        if (bytes > 0 && bytes + size > kMaxBatchBytes) break;
+        bytes += size;
+        batch.message.flows.push_back(std::move(states[next]));
+        ++next;
+      }
+      Send(now, batch, out);
+      in_flight_.emplace(batch.message.batch, std::move(batch));
+    }
+  }
+  collected_.clear();
+}
+
+void Handover::OnAck(TimePoint now, const schema::HandoverAck& ack,
+                     Outbox& out) {
+  const auto it = in_flight_.find(ack.batch);
+  if (it == in_flight_.end()) return;
+  Batch batch = std::move(it->second);
+  in_flight_.erase(it);
+  under_way_ -= batch.message.flows.size();
+  for (const schema::FlowState& state : batch.message.flows) {
+    const Flow flow = FromKey(state.flow);
+    if (!ack.taken) {
+      flows_.CancelHandover(flow);
+      continue;
+    }
+    ++handed_over_;
+    gone_(flow, out);
+    flows_.FinishHandover(now, flow, batch.to, out);
+  }
+}
+
+void Handover::OnTick(TimePoint now, Outbox& out) {
+  for (auto it = in_flight_.begin(); it != in_flight_.end();) {
+    Batch& batch = it->second;
+    const Member* member = control_.membership().Find(batch.to);
+    const bool gone = member == nullptr || !member->present();
+    if (gone || (now >= batch.next_send && batch.sends >= kMaxSends)) {
+      GiveUp(now, batch);
+      it = in_flight_.erase(it);
+      continue;
+    }
+    if (now >= batch.next_send) Send(now, batch, out);
+    ++it;
+  }
+  for (auto it = taken_.begin(); it != taken_.end();) {
+    it = now - it->second > kTakenRetention ? taken_.erase(it) : std::next(it);
+  }
+}
+
+/** The recipient is silent. Whether it took the flows is not known. */
+void Handover::GiveUp(TimePoint now, const Batch& batch) {
+  under_way_ -= batch.message.flows.size();
+  for (const schema::FlowState& state : batch.message.flows) {
+    const Flow flow = FromKey(state.flow);
+    doubtful_(now, flow);
+    flows_.CancelHandover(flow);
+  }
+}
+
+void Handover::Send(TimePoint now, Batch& batch, Outbox& out) {
+  ++batch.sends;
+  batch.next_send = now + kRetry;
+  const Member* member = control_.membership().Find(batch.to);
+  if (member != nullptr) out.Send(member->endpoint(), batch.message);
+}
+
+bool Handover::AlreadyTaken(const schema::Handover& handover) const {
+  return taken_.count({MemberId(handover.sender), handover.batch}) != 0;
+}
+
+void Handover::NoteTaken(TimePoint now, const schema::Handover& handover) {
+  taken_[{MemberId(handover.sender), handover.batch}] = now;
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/agent/src/lender.cc
@@ -0,0 +1,72 @@
+#include "agent/lender.h"
+
+#include <utility>
+
+namespace sesamesaddle {
+
+Lender::Request* Lender::Find(MemberId sender, int64_t call) {
+  const auto it = requests_.find({sender, call});
+  return it == requests_.end() ? nullptr : &it->second;
+}
+
+Lender::Request* Lender::FindLocal(CallId local) {
+  const auto it = local_.find(local);
+  return it == local_.end() ? nullptr : &requests_.at(it->second);
+}
+
+Lender::Request& Lender::Add(Request request) {
+  const Key key{request.sender, request.call};
+  if (request.local != CallId()) local_[request.local] = key;
+  return requests_[key] = std::move(request);
+}
+
+void Lender::Finish(TimePoint now, Request& request,
+                    schema::RunOutcome::type outcome, Outbox& out) {
+  request.outcome = outcome;
+  request.finished_at = now;
+  local_.erase(request.local);
+  Report(request, 0, out);
+}
+
+void Lender::Report(const Request& request, int32_t offset,
+                    Outbox& out) const {
+  schema::RunResult result;
+  result.call = request.call;
+  result.sender = self_.value();
+  result.outcome = request.outcome;
+  result.status = request.status;
+  result.total_bytes = static_cast<int32_t>(request.body.size());
+  result.offset = offset;
+  if (offset >= 0 && static_cast<size_t>(offset) < request.body.size()) {
+    result.part = request.body.substr(static_cast<size_t>(offset), kPartBytes);
+  }
+  result.content_type = request.content_type;
+  out.Send(request.from, std::move(result));
+}
+
+std::vector<CallId> Lender::Expired(TimePoint now) const {
+  std::vector<CallId> expired;
+  for (const auto& [local, key] : local_) {
+    if (requests_.at(key).deadline <= now) expired.push_back(local);
+  }
+  return expired;
+}
+
+void Lender::Forget(TimePoint now) {
+  for (auto it = requests_.begin(); it != requests_.end();) {
+    Request& request = it->second;
+    const bool running = request.outcome == schema::RunOutcome::kAccepted;
+    const Duration age = now - request.finished_at;
+    if (!running && age > kRetention) {
+      it = requests_.erase(it);
+      continue;
+    }
+    if (!running && age > kBodyRetention && !request.body.empty()) {
+      request.body.clear();
+      request.outcome = schema::RunOutcome::kUnknown;
+    }
+    ++it;
+  }
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/configuration/src/replica.cc
@@ -0,0 +1,64 @@
+#include "configuration/replica.h"
+
+#include "configuration/change_rules.h"
+
+namespace sesamesaddle {
+
+ConfigurationReplica::ConfigurationReplica() { current_.revision = 0; }
+
+OfferResult ConfigurationReplica::OfferRecord(
+    const schema::ChangeRecord& record) {
+  if (record.revision <= current_.revision) return OfferResult::kKnown;
+  if (record.revision != current_.revision + 1) {
+    if (early_.size() < kMaxEarlyRecords) early_[record.revision] = record;
+    return OfferResult::kGap;
+  }
+  if (!ApplyChange(current_, record.change, record.revision)) {
+    return OfferResult::kInvalid;
+  }
+  Remember(record);
+  ApplyEarlyRecords();
+  return OfferResult::kApplied;
+}
+
+OfferResult ConfigurationReplica::OfferSnapshot(
+    const schema::Configuration& snapshot) {
+  if (snapshot.revision <= current_.revision) return OfferResult::kKnown;
+  current_ = snapshot;
+  recent_.clear();  // Records before the snapshot would leave a gap.
+  ApplyEarlyRecords();
+  return OfferResult::kApplied;
+}
+
+bool ConfigurationReplica::HasRecordsAfter(Revision revision) const {
+  if (revision.value() >= current_.revision) return true;
+  return !recent_.empty() && recent_.front().revision <= revision.value() + 1;
+}
+
+std::vector<schema::ChangeRecord> ConfigurationReplica::RecordsAfter(
+    Revision revision, size_t limit) const {
+  std::vector<schema::ChangeRecord> records;
+  for (const schema::ChangeRecord& record : recent_) {
+    if (records.size() == limit) break;
+    if (record.revision > revision.value()) records.push_back(record);
+  }
+  return records;
+}
+
+void ConfigurationReplica::Remember(const schema::ChangeRecord& record) {
+  recent_.push_back(record);
+  if (recent_.size() > kKeptRecords) recent_.pop_front();
+}
+
+void ConfigurationReplica::ApplyEarlyRecords() {
+  early_.erase(early_.begin(), early_.upper_bound(current_.revision));
+  while (!early_.empty() &&
+         early_.begin()->first == current_.revision + 1) {
+    const schema::ChangeRecord record = early_.begin()->second;
+    early_.erase(early_.begin());
+    if (!ApplyChange(current_, record.change, record.revision)) return;
+    Remember(record);
+  }
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/core/include/core/endpoint.h
@@ -0,0 +1,94 @@
+#ifndef SESAMESADDLE_CORE_ENDPOINT_H_
+#define SESAMESADDLE_CORE_ENDPOINT_H_
+
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace sesamesaddle {
+
+/** Why a text is not an endpoint. */
+enum class EndpointError { kMissingPort, kBadAddress, kBadPort };
+
+/** An IPv4 address and a port. */
+class Endpoint {
+ public:
+  constexpr Endpoint() = default;
+  constexpr Endpoint(uint32_t ip, uint16_t port) : ip_(ip), port_(port) {}
+
+  /** Reads "127.0.0.1:5683". */
+  static tl::expected<Endpoint, EndpointError> Parse(std::string_view text);
+  static Endpoint FromSockaddr(const sockaddr_in& address);
+  /** Reads the form that messages carry; see messages.thrift. */
+  static constexpr Endpoint Unpack(int64_t packed) {
+    return Endpoint(static_cast<uint32_t>(packed >> 16),
+                    static_cast<uint16_t>(packed & 0xffff));
+  }
+
+  constexpr int64_t Pack() const {
+    return (static_cast<int64_t>(ip_) << 16) | port_;
+  }
+  sockaddr_in ToSockaddr() const;
+  std::string ToString() const;
+
+  /** The address in host byte order. */
+  constexpr uint32_t ip() const { return ip_; }
+  constexpr uint16_t port() const { return port_; }
+  bool IsLoopback() const;
+
+  friend constexpr bool operator==(const Endpoint& a, const Endpoint& b) {
+    return a.Pack() == b.Pack();
+  }
+  friend constexpr bool operator!=(const Endpoint& a, const Endpoint& b) {
+    return a.Pack() != b.Pack();
+  }
+  friend constexpr bool operator<(const Endpoint& a, const Endpoint& b) {
+    return a.Pack() < b.Pack();
+  }
+
+ private:
+  uint32_t ip_ = 0;
+  uint16_t port_ = 0;
+};
+
+/** @return a sentence part such as "the port is missing". */
+std::string_view Describe(EndpointError error);
+
+/** What identifies a flow: the caller and the service address it talks to. */
+struct Flow {
+  Endpoint caller;
+  Endpoint service;
+
+  friend bool operator==(const Flow& a, const Flow& b) {
+    return a.caller == b.caller && a.service == b.service;
+  }
+  friend bool operator<(const Flow& a, const Flow& b) {
+    return a.caller < b.caller ||
+           (a.caller == b.caller && a.service < b.service);
+  }
+};
+
+/** A hash of the flow that every process agrees on. */
+uint64_t HashFlow(const Flow& flow);
+
+}  // namespace sesamesaddle
+
+template <>
+struct std::hash<sesamesaddle::Endpoint> {
+  size_t operator()(const sesamesaddle::Endpoint& endpoint) const noexcept {
+    return std::hash<int64_t>()(endpoint.Pack());
+  }
+};
+
+template <>
+struct std::hash<sesamesaddle::Flow> {
+  size_t operator()(const sesamesaddle::Flow& flow) const noexcept {
+    return sesamesaddle::HashFlow(flow);
+  }
+};
+
+#endif  // SESAMESADDLE_CORE_ENDPOINT_H_
--- /dev/null
+++ b/packages/daemon/include/daemon/balancer_role.h
@@ -0,0 +1,59 @@
+#ifndef SESAMESADDLE_DAEMON_BALANCER_ROLE_H_
+#define SESAMESADDLE_DAEMON_BALANCER_ROLE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "balancer/balancer.h"
+#include "daemon/role.h"
+#include "net/event_loop.h"
+#include "net/udp_socket.h"
+#include "settings_types.h"
+
+namespace sesamesaddle {
+
+/** Hands the actions in an outbox to the process that carries them out. */
+using CarryOut = std::function<void(Outbox& out)>;
+
+/** A balancer with its socket towards the fabric. */
+class BalancerRole : public Role {
+ public:
+  /** @return the role, or why its socket could not be opened. */
+  static tl::expected<std::unique_ptr<BalancerRole>, NetError> Open(
+      EventLoop& loop, const schema::DaemonSettings& settings,
+      const schema::MemberRecord& self, RandomSource& random,
+      CarryOut carry_out);
+
+  BalancerRole(EventLoop& loop, const schema::DaemonSettings& settings,
+               const schema::MemberRecord& self, RandomSource& random,
+               CarryOut carry_out);
+
+  ControlPlane& control() override { return balancer_.control(); }
+  void OnMessage(TimePoint now, const Endpoint& from,
+                 const schema::PeerMessage& message, Outbox& out) override;
+  void OnTick(TimePoint now, Outbox& out) override;
+  void Perform(const Action& action) override;
+  void BeginStop() override;
+  std::string WaitingFor(TimePoint now) const override;
+  void Leave(TimePoint now, Outbox& out) override;
+  Counters counters() const override;
+  void FillDump(TimePoint now, schema::StateDump& dump) const override;
+
+ private:
+  void OnFabricDatagram(std::string_view bytes);
+
+  EventLoop& loop_;
+  Endpoint fabric_;
+  Balancer balancer_;
+  CarryOut carry_out_;
+  std::unique_ptr<UdpSocket> socket_;
+  TimePoint last_datagram_{};
+  TimePoint stop_began_{};
+  int64_t malformed_ = 0;
+  int64_t send_failed_ = 0;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_DAEMON_BALANCER_ROLE_H_
--- /dev/null
+++ b/packages/daemon/include/daemon/daemon.h
@@ -0,0 +1,75 @@
+#ifndef SESAMESADDLE_DAEMON_DAEMON_H_
+#define SESAMESADDLE_DAEMON_DAEMON_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "configuration/change_log.h"
+#include "core/random.h"
+#include "daemon/admin_server.h"
+#include "daemon/loop_scheduler.h"
+#include "daemon/operator_commands.h"
+#include "daemon/role.h"
+#include "daemon/seed_keeper.h"
+#include "net/event_loop.h"
+#include "net/udp_socket.h"
+#include "platform/http_store.h"
+#include "settings_types.h"
+
+namespace sesamesaddle {
+
+/** One process of the system: its sockets, its role, its stop. */
+class Daemon {
+ public:
+  /** @return the daemon, listening, or why it cannot listen. */
+  static tl::expected<std::unique_ptr<Daemon>, NetError> Open(
+      EventLoop& loop, const schema::DaemonSettings& settings,
+      RandomSource& random);
+
+  Daemon(EventLoop& loop, const schema::DaemonSettings& settings,
+         RandomSource& random);
+
+  /**
+   * Runs until a graceful stop has ended.
+   * @param stop_requested  set from a signal handler
+   */
+  void Run(const std::atomic<bool>& stop_requested);
+
+ private:
+  tl::expected<void, NetError> OpenSockets();
+  schema::MemberRecord MakeSelf() const;
+  void OnDatagram(const Endpoint& from, std::string_view bytes);
+  void CarryOutActions(Outbox& out);
+  void Tick(const std::atomic<bool>& stop_requested);
+  void AdvanceStop(TimePoint now);
+  void LoadConfiguration();
+  void WatchStoreIfChosen();
+  bool Ready();
+  schema::StateDump Dump();
+  Counters AllCounters();
+
+  EventLoop& loop_;
+  schema::DaemonSettings settings_;
+  RandomSource& random_;
+  LoopScheduler scheduler_;
+  HttpStore store_;
+  std::unique_ptr<Role> role_;
+  std::unique_ptr<ChangeLog> log_;
+  std::unique_ptr<SeedKeeper> seeds_;
+  std::unique_ptr<OperatorCommands> commands_;
+  std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<UdpSocket> socket_;
+  bool stopping_ = false;
+  TimePoint stop_deadline_{};
+  TimePoint next_stop_log_{};
+  TimePoint next_watch_check_{};
+  int64_t malformed_ = 0;
+  int64_t sent_datagrams_ = 0;
+  int64_t sent_bytes_ = 0;
+  int64_t control_bytes_ = 0;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_DAEMON_DAEMON_H_
--- /dev/null
+++ b/packages/daemon/src/main.cc
@@ -0,0 +1,46 @@
+// sesamesaddled: a balancer or an agent, as its first argument says.
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "core/time.h"
+#include "daemon/daemon.h"
+#include "daemon/log.h"
+#include "daemon/settings.h"
+#include "net/event_loop.h"
+
+namespace {
+
+std::atomic<bool> stop_requested{false};
+
+void RequestStop(int /*signal*/) { stop_requested = true; }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto settings = sesamesaddle::ReadSettings(
+      std::vector<std::string>(argv, argv + argc));
+  if (!settings) {
+    const auto& exit = settings.error();
+    fputs(exit.text.c_str(), exit.code == 0 ? stdout : stderr);
+    return exit.code;
+  }
+  sesamesaddle::StartLog(settings->log_level);
+  signal(SIGTERM, RequestStop);
+  signal(SIGINT, RequestStop);
+  signal(SIGPIPE, SIG_IGN);
+  const sesamesaddle::SteadyClock clock;
+  sesamesaddle::EventLoop loop(clock);
+  sesamesaddle::SeededRandom random(sesamesaddle::SystemSeed());
+  auto daemon = sesamesaddle::Daemon::Open(loop, *settings, random);
+  if (!daemon) {
+    LOG(ERROR) << "daemon: " << daemon.error().message << ".";
+    return 1;
+  }
+  (*daemon)->Run(stop_requested);
+  return 0;
+}
--- /dev/null
+++ b/packages/daemon/src/operator_commands.cc
@@ -0,0 +1,306 @@
+#include "daemon/operator_commands.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "command/table.h"
+#include "configuration/change_rules.h"
+
+namespace sesamesaddle {
+namespace {
+
+constexpr Duration kPollPeriod = std::chrono::milliseconds(100);
+// Bounds the datagrams with which one waiting command asks for revisions.
+constexpr size_t kAskedPerPoll = 200;
+
+const char* Name(schema::Priority::type priority) {
+  switch (priority) {
+    case schema::Priority::kHigh:
+      return "high";
+    case schema::Priority::kNormal:
+      return "normal";
+    case schema::Priority::kLow:
+      return "low";
+  }
+  return "?";
+}
+
+const char* Name(schema::MemberState::type state) {
+  switch (state) {
+    case schema::MemberState::kAlive:
+      return "alive";
+    case schema::MemberState::kSuspect:
+      return "suspect";
+    case schema::MemberState::kDead:
+      return "dead";
+    case schema::MemberState::kLeft:
+      return "left";
+  }
+  return "?";
+}
+
+const char* Name(schema::InstanceMode::type mode) {
+  switch (mode) {
+    case schema::InstanceMode::kServing:
+      return "serving";
+    case schema::InstanceMode::kDraining:
+      return "draining";
+    case schema::InstanceMode::kRetired:
+      return "retired";
+  }
+  return "?";
+}
+
+std::string Join(const std::vector<std::string>& parts) {
+  std::string text;
+  for (const std::string& part : parts) text += (text.empty() ? "" : ",") + part;
+  return text.empty() ? "-" : text;
+}
+
+schema::Row MakeRow(std::vector<std::string> cells) {
+  schema::Row row;
+  row.cells = std::move(cells);
+  return row;
+}
+
+schema::CommandReply MakeReply(schema::CommandOutcome::type outcome,
+                               std::string message) {
+  schema::CommandReply reply;
+  reply.outcome = outcome;
+  reply.message = std::move(message);
+  return reply;
+}
+
+}  // namespace
+
+struct OperatorCommands::Waiting {
+  schema::CommandReply reply;
+  Revision revision;
+  TimePoint give_up;
+  Done done;
+};
+
+OperatorCommands::OperatorCommands(Role& role, ChangeLog& log,
+                                   Scheduler& scheduler, RandomSource& random,
+                                   CarryOut carry_out)
+    : role_(role),
+      log_(log),
+      scheduler_(scheduler),
+      random_(random),
+      carry_out_(std::move(carry_out)) {}
+
+void OperatorCommands::Execute(const std::string& text,
+                               const CommandOptions& options, Done done) {
+  const auto command = ParseCommand(text);
+  if (!command) {
+    auto reply = MakeReply(schema::CommandOutcome::kSyntaxError,
+                           command.error().message);
+    reply.__set_column(static_cast<int32_t>(command.error().column));
+    done(reply);
+    return;
+  }
+  if (const auto* change = std::get_if<schema::Change>(&*command)) {
+    Submit(*change, text, options, std::move(done));
+    return;
+  }
+  if (const auto* query = std::get_if<Query>(&*command)) {
+    done(Answer(*query));
+    return;
+  }
+  done(MakeReply(schema::CommandOutcome::kDone, kCommandHelp));
+}
+
+void OperatorCommands::Submit(const schema::Change& change,
+                              const std::string& text,
+                              const CommandOptions& options, Done done) {
+  schema::ChangeRecord record;
+  record.revision = 0;
+  record.change_id = options.change_id;
+  if (record.change_id.empty()) {
+    char digits[20];
+    snprintf(digits, sizeof(digits), "%016llx",
+             static_cast<unsigned long long>(  // NOLINT(google-runtime-int)
+                 random_.Next()));
+    record.change_id = digits;
+  }
+  record.author = options.author;
+  record.time_ms = WallClockMs();
+  record.change = change;
+  record.text = text;
+  const std::string change_id = record.change_id;
+  log_.Submit(std::move(record), kSubmitLimit,
+              [this, change_id, wait = options.wait,
+               done = std::move(done)](const SubmitResult& result) {
+                OnSubmitted(result, change_id, wait, done);
+              });
+}
+
+void OperatorCommands::OnSubmitted(const SubmitResult& result,
+                                   const std::string& change_id, Duration wait,
+                                   const Done& done) {
+  schema::CommandReply reply;
+  reply.__set_change_id(change_id);
+  switch (result.outcome) {
+    case SubmitResult::Outcome::kAccepted:
+      reply.outcome = schema::CommandOutcome::kAccepted;
+      reply.message = "accepted, revision " + std::to_string(result.revision);
+      reply.__set_revision(result.revision);
+      break;
+    case SubmitResult::Outcome::kRefused:
+      reply.outcome = schema::CommandOutcome::kRefused;
+      reply.message = "refused: " + result.message;
+      break;
+    case SubmitResult::Outcome::kUnknown:
+      reply.outcome = schema::CommandOutcome::kOutcomeUnknown;
+      reply.message = "outcome unknown: " + result.message +
+                      "; ask with: show changes where change = " + change_id;
+      break;
+  }
+  if (reply.outcome != schema::CommandOutcome::kAccepted ||
+      wait == Duration::zero()) {
+    done(reply);
+    return;
+  }
+  auto waiting = std::make_shared<Waiting>();
+  waiting->reply = std::move(reply);
+  waiting->revision = Revision(result.revision);
+  waiting->give_up = scheduler_.Now() + wait;
+  waiting->done = done;
+  PollInForce(waiting);
+}
+
+void OperatorCommands::PollInForce(const std::shared_ptr<Waiting>& waiting) {
+  ControlPlane& control = role_.control();
+  const size_t total = control.membership().present_count() + 1;
+  const size_t count = control.CountInForce(waiting->revision);
+  const bool late = scheduler_.Now() >= waiting->give_up;
+  if (count >= total || late) {
+    waiting->reply.message += "; in force at " + std::to_string(count) +
+                              " of " + std::to_string(total) + " processes";
+    waiting->done(waiting->reply);
+    return;
+  }
+  Outbox out;
+  control.AskRevisions(waiting->revision, kAskedPerPoll, out);
+  carry_out_(out);
+  scheduler_.After(kPollPeriod, [this, waiting] { PollInForce(waiting); });
+}
+
+// ---- Queries.
+
+schema::CommandReply OperatorCommands::Answer(const Query& query) const {
+  const auto table = FilterTable(MakeTable(query.subject), query.conditions);
+  if (!table) {
+    return MakeReply(schema::CommandOutcome::kRefused, table.error());
+  }
+  auto reply = MakeReply(schema::CommandOutcome::kDone, "");
+  reply.__set_table(*table);
+  return reply;
+}
+
+schema::Table OperatorCommands::MakeTable(Subject subject) const {
+  switch (subject) {
+    case Subject::kServices:
+      return ServicesTable();
+    case Subject::kTargets:
+      return MembersTable(schema::Role::kAgent);
+    case Subject::kBalancers:
+      return MembersTable(schema::Role::kBalancer);
+    case Subject::kFlows:
+      return FlowsTable();
+    case Subject::kChanges:
+      return ChangesTable();
+  }
+  return {};
+}
+
+schema::Table OperatorCommands::ServicesTable() const {
+  schema::Table table;
+  table.columns = {"name",     "address", "priority", "deadline_ms",
+                   "grace_ms", "targets", "rules"};
+  const ControlPlane& control = role_.control();
+  for (const auto& [name, service] : control.replica().current().services) {
+    std::vector<std::string> rules;
+    for (const schema::TargetRule& rule : service.targets) {
+      rules.push_back(rule.pattern +
+                      (rule.zone.empty() ? "" : "@" + rule.zone));
+    }
+    const ServiceEntry* entry = control.services().Find(ServiceId(service.id));
+    const size_t targets = entry == nullptr ? 0 : entry->agents.size();
+    table.rows.push_back(MakeRow(
+        {name, Endpoint::Unpack(service.address).ToString(),
+         Name(service.priority), std::to_string(service.deadline_ms),
+         std::to_string(service.drain_grace_ms), std::to_string(targets),
+         Join(rules)}));
+  }
+  return table;
+}
+
+schema::Table OperatorCommands::MembersTable(schema::Role::type role) const {
+  schema::Table table;
+  table.columns = {"name", "zone", "address", "state", "mode", "admin"};
+  if (role == schema::Role::kAgent) {
+    table.columns.insert(table.columns.end(), {"slots", "services"});
+  }
+  const ControlPlane& control = role_.control();
+  const auto add = [&](const schema::MemberRecord& record) {
+    if (record.role != role) return;
+    const auto mode = ModeOf(control.replica().current(), record.name);
+    const bool stopping =
+        record.draining && mode == schema::InstanceMode::kServing;
+    std::vector<std::string> cells = {
+        record.name,
+        record.zone,
+        Endpoint::Unpack(record.endpoint).ToString(),
+        Name(record.state),
+        stopping ? "stopping" : Name(mode),
+        Endpoint::Unpack(record.admin).ToString()};
+    if (role == schema::Role::kAgent) {
+      std::vector<std::string> services;
+      for (const auto& [name, service] : control.replica().current().services) {
+        if (MayServe(service, record.name, record.zone)) {
+          services.push_back(name);
+        }
+      }
+      cells.push_back(std::to_string(record.slots));
+      cells.push_back(Join(services));
+    }
+    table.rows.push_back(MakeRow(std::move(cells)));
+  };
+  add(control.membership().self());
+  for (const auto& [id, member] : control.membership().members()) {
+    add(member.record);
+  }
+  std::sort(table.rows.begin(), table.rows.end(),
+            [](const schema::Row& a, const schema::Row& b) {
+              return a.cells < b.cells;
+            });
+  return table;
+}
+
+schema::Table OperatorCommands::FlowsTable() const {
+  schema::StateDump dump;
+  role_.FillDump(scheduler_.Now(), dump);
+  schema::Table table;
+  table.columns = {"caller", "service", "feeds", "running", "epoch"};
+  for (const schema::FlowDump& flow : dump.flows) {
+    table.rows.push_back(
+        MakeRow({flow.caller, flow.service_address, std::to_string(flow.feeds),
+                 std::to_string(flow.running), std::to_string(flow.epoch)}));
+  }
+  return table;
+}
+
+schema::Table OperatorCommands::ChangesTable() const {
+  schema::Table table;
+  table.columns = {"revision", "change", "author", "time_ms", "text"};
+  for (const schema::ChangeRecord& record : role_.control().replica().recent()) {
+    table.rows.push_back(
+        MakeRow({std::to_string(record.revision), record.change_id,
+                 record.author, std::to_string(record.time_ms), record.text}));
+  }
+  return table;
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/net/include/net/event_loop.h
@@ -0,0 +1,78 @@
+#ifndef SESAMESADDLE_NET_EVENT_LOOP_H_
+#define SESAMESADDLE_NET_EVENT_LOOP_H_
+
+#include <functional>
+#include <map>
+
+#include "core/time.h"
+#include "net/h2o.h"
+
+namespace sesamesaddle {
+
+/** One thread's event loop: sockets by h2o, timers by due time. */
+class EventLoop {
+ public:
+  using Callback = std::function<void()>;
+
+  /** Cancels its timer when destroyed. */
+  class Timer {
+   public:
+    Timer() = default;
+    Timer(EventLoop* loop, uint64_t key) : loop_(loop), key_(key) {}
+    Timer(Timer&& other) noexcept;
+    Timer& operator=(Timer&& other) noexcept;
+    ~Timer() { Cancel(); }
+
+    void Cancel();
+
+   private:
+    EventLoop* loop_ = nullptr;
+    uint64_t key_ = 0;
+  };
+
+  explicit EventLoop(const Clock& clock);
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /** Calls `callback` once after `delay`. */
+  [[nodiscard]] Timer After(Duration delay, Callback callback);
+  /** Calls `callback` every `period` until the timer is destroyed. */
+  [[nodiscard]] Timer Every(Duration period, Callback callback);
+  /** Calls `callback` once after `delay`; it cannot be cancelled. */
+  void Schedule(Duration delay, Callback callback);
+  /** Calls `callback` in the next turn of the loop. */
+  void Post(Callback callback) {
+    Schedule(Duration::zero(), std::move(callback));
+  }
+
+  /** Runs until Stop. */
+  void Run();
+  void Stop() { stopped_ = true; }
+
+  h2o_loop_t* raw() { return loop_; }
+  TimePoint Now() const { return clock_.Now(); }
+
+ private:
+  struct Entry {
+    TimePoint due;
+    Duration period;  // Zero for a timer that fires once.
+    Callback callback;
+  };
+
+  uint64_t Add(Duration delay, Duration period, Callback callback);
+  void Remove(uint64_t key);
+  void RunDueTimers();
+  int WaitMs() const;
+
+  const Clock& clock_;
+  h2o_loop_t* loop_;
+  std::map<uint64_t, Entry> entries_;
+  std::multimap<TimePoint, uint64_t> due_;
+  uint64_t next_key_ = 1;
+  bool stopped_ = false;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_NET_EVENT_LOOP_H_
--- /dev/null
+++ b/packages/net/include/net/http_server.h
@@ -0,0 +1,81 @@
+#ifndef SESAMESADDLE_NET_HTTP_SERVER_H_
+#define SESAMESADDLE_NET_HTTP_SERVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "core/endpoint.h"
+#include "net/event_loop.h"
+#include "net/net_error.h"
+
+namespace sesamesaddle {
+
+/** Headers by lower-case name. */
+using HttpHeaders = std::map<std::string, std::string>;
+
+struct HttpRequest {
+  std::string method;
+  std::string path;   // Without the query.
+  std::string query;  // Without the question mark.
+  HttpHeaders headers;
+  std::string body;
+};
+
+struct HttpResponse {
+  int status = 200;
+  std::string content_type = "text/plain";
+  std::string body;
+  HttpHeaders headers;
+};
+
+/** Answers one request, at once or later; a second answer is ignored. */
+class HttpResponder {
+ public:
+  explicit HttpResponder(h2o_req_t* request) : request_(request) {}
+
+  void Send(const HttpResponse& response);
+  /** Whether the client has closed its connection (checked on the socket). */
+  bool ClientGone() const;
+  /** Closes the connection after `bytes` of the body, for failure tests. */
+  void SendCut(const HttpResponse& response, size_t bytes);
+  /** The connection ended; nothing can be sent any more. */
+  void Detach() { request_ = nullptr; }
+
+ private:
+  h2o_req_t* request_;
+};
+
+/** An HTTP/1.1 server on the event loop. */
+class HttpServer {
+ public:
+  using Handler = std::function<void(const HttpRequest& request,
+                                     std::shared_ptr<HttpResponder> responder)>;
+
+  /** @return the listening server, or why it could not listen. */
+  static tl::expected<std::unique_ptr<HttpServer>, NetError> Open(
+      EventLoop& loop, const Endpoint& local, Handler handler);
+
+  HttpServer(EventLoop& loop, int fd, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /** Called by h2o's handler. */
+  void Dispatch(h2o_req_t* request);
+
+ private:
+  static void OnAccept(h2o_socket_t* listener, const char* error);
+
+  Handler handler_;
+  h2o_globalconf_t config_;
+  h2o_context_t context_;
+  h2o_accept_ctx_t accept_;
+  h2o_socket_t* listener_;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/packages/node/src/control_plane.cc
@@ -0,0 +1,277 @@
+#include "node/control_plane.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "configuration/change_rules.h"
+#include "schema/codec.h"
+
+namespace sesamesaddle {
+namespace {
+
+constexpr size_t kRecordFanout = 4;
+constexpr size_t kRecordsPerNews = 8;
+constexpr size_t kSnapshotPartBytes = 1100;
+constexpr Duration kFetchPeriod = std::chrono::milliseconds(200);
+// Enough that two may fail at once; few enough to spare the store.
+constexpr size_t kWatchersPerZone = 3;
+
+}  // namespace
+
+ControlPlane::ControlPlane(const schema::MemberRecord& self,
+                           const MembershipOptions& options,
+                           RandomSource& random)
+    : random_(random), membership_(self, options, random) {
+  UpdateSelf();
+}
+
+bool ControlPlane::OnMessage(TimePoint now, const Endpoint& from,
+                             const schema::PeerMessage& message, Outbox& out) {
+  if (message.__isset.gossip) {
+    std::vector<GossipSend> sends;
+    membership_.OnGossip(now, from, message.gossip, replica_.revision(), sends);
+    for (GossipSend& send : sends) out.Send(send.to, std::move(send.gossip));
+    SyncMembers();
+    Revision& known = revisions_[MemberId(message.gossip.sender.id)];
+    known = std::max(known, Revision(message.gossip.revision));
+    OnPeerRevision(now, from, Revision(message.gossip.revision), out);
+    return true;
+  }
+  if (message.__isset.configuration_fetch) {
+    OnFetch(from, message.configuration_fetch, out);
+    return true;
+  }
+  if (message.__isset.configuration_news) {
+    OnNews(now, from, message.configuration_news, out);
+    return true;
+  }
+  if (message.__isset.snapshot_fetch) {
+    OnSnapshotFetch(from, message.snapshot_fetch, out);
+    return true;
+  }
+  return false;
+}
+
+void ControlPlane::OnTick(TimePoint now, Outbox& out) {
+  std::vector<GossipSend> sends;
+  membership_.OnTick(now, replica_.revision(), sends);
+  for (GossipSend& send : sends) out.Send(send.to, std::move(send.gossip));
+  SyncMembers();
+}
+
+void ControlPlane::OnRecord(const schema::ChangeRecord& record, Outbox& out) {
+  const Revision before = replica_.revision();
+  replica_.OfferRecord(record);
+  if (replica_.revision() == before) return;
+  for (const auto& applied :
+       replica_.RecordsAfter(before, ConfigurationReplica::kKeptRecords)) {
+    SpreadRecord(applied, out);
+  }
+  TakeOverConfiguration();
+}
+
+void ControlPlane::OnSnapshot(const schema::Configuration& snapshot) {
+  if (replica_.OfferSnapshot(snapshot) == OfferResult::kApplied) {
+    TakeOverConfiguration();
+  }
+}
+
+void ControlPlane::OnPeerRevision(TimePoint now, const Endpoint& peer,
+                                  Revision revision, Outbox& out) {
+  if (!(replica_.revision() < revision) || now < next_fetch_) return;
+  next_fetch_ = now + kFetchPeriod;
+  schema::ConfigurationFetch fetch;
+  fetch.after_revision = replica_.revision().value();
+  out.Send(peer, fetch);
+}
+
+void ControlPlane::BeginStop() {
+  stopping_ = true;
+  UpdateSelf();
+  configuration_changed_ = true;
+}
+
+size_t ControlPlane::CountInForce(Revision revision) const {
+  size_t count = replica_.revision() < revision ? 0 : 1;
+  for (const auto& [id, member] : membership_.members()) {
+    const auto known = revisions_.find(id);
+    if (member.present() && known != revisions_.end() &&
+        !(known->second < revision)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+void ControlPlane::AskRevisions(Revision revision, size_t limit, Outbox& out) {
+  for (const auto& [id, member] : membership_.members()) {
+    if (limit == 0) return;
+    const auto known = revisions_.find(id);
+    const bool has = known != revisions_.end() && !(known->second < revision);
+    if (!member.present() || has) continue;
+    out.Send(member.endpoint(), MakePing(id));
+    --limit;
+  }
+}
+
+void ControlPlane::Leave(TimePoint now, Outbox& out) {
+  std::vector<GossipSend> sends;
+  membership_.Leave(now, replica_.revision(), sends);
+  for (GossipSend& send : sends) out.Send(send.to, std::move(send.gossip));
+}
+
+schema::Gossip ControlPlane::MakePing(MemberId member) const {
+  schema::Gossip ping;
+  ping.kind = schema::GossipKind::kPing;
+  ping.sequence = 0;
+  ping.sender = membership_.self();
+  ping.subject = member.value();
+  ping.reply_to = 0;
+  ping.revision = replica_.revision().value();
+  return ping;
+}
+
+bool ControlPlane::ShouldWatchStore() const {
+  const schema::MemberRecord& self = membership_.self();
+  if (self.role != schema::Role::kBalancer) return false;
+  size_t before = 0;
+  for (const auto& [id, member] : membership_.members()) {
+    const bool rival = member.present() && !member.is_agent() &&
+                       member.record.zone == self.zone;
+    if (rival && id < membership_.self_id()) ++before;
+  }
+  return before < kWatchersPerZone;
+}
+
+schema::InstanceMode::type ControlPlane::mode() const {
+  return ModeOf(replica_.current(), membership_.self().name);
+}
+
+std::vector<MemberChange> ControlPlane::TakeMemberChanges() {
+  return std::exchange(changes_, {});
+}
+
+bool ControlPlane::TakeConfigurationChanged() {
+  return std::exchange(configuration_changed_, false);
+}
+
+void ControlPlane::OnFetch(const Endpoint& from,
+                           const schema::ConfigurationFetch& fetch,
+                           Outbox& out) {
+  const Revision after(fetch.after_revision);
+  if (!(after < replica_.revision())) return;
+  if (!replica_.HasRecordsAfter(after)) {
+    schema::SnapshotFetch first_part;
+    first_part.revision = replica_.revision().value();
+    first_part.offset = 0;
+    OnSnapshotFetch(from, first_part, out);
+    return;
+  }
+  schema::ConfigurationNews news;
+  news.first_revision = fetch.after_revision + 1;
+  for (const auto& record : replica_.RecordsAfter(after, kRecordsPerNews)) {
+    news.records.push_back(EncodeCompact(record));
+  }
+  out.Send(from, std::move(news));
+}
+
+void ControlPlane::OnNews(TimePoint now, const Endpoint& from,
+                          const schema::ConfigurationNews& news, Outbox& out) {
+  if (news.__isset.snapshot_revision) {
+    OnSnapshotPart(from, news, out);
+    return;
+  }
+  Revision latest;
+  for (const std::string& bytes : news.records) {
+    const auto record = DecodeCompact<schema::ChangeRecord>(bytes);
+    if (!record) continue;
+    OnRecord(*record, out);
+    latest = std::max(latest, Revision(record->revision));
+  }
+  if (news.records.size() == kRecordsPerNews) {
+    // A full page: there may be more.
+    next_fetch_ = now;
+    latest = Revision(latest.value() + 1);
+  }
+  OnPeerRevision(now, from, latest, out);
+}
+
+void ControlPlane::OnSnapshotPart(const Endpoint& from,
+                                  const schema::ConfigurationNews& news,
+                                  Outbox& out) {
+  if (news.snapshot_revision <= replica_.revision().value()) return;
+  if (news.snapshot_revision != incoming_revision_) {
+    if (news.offset != 0) return;
+    incoming_revision_ = news.snapshot_revision;
+    incoming_.clear();
+  }
+  if (news.offset != static_cast<int32_t>(incoming_.size())) return;
+  incoming_ += news.part;
+  if (static_cast<int32_t>(incoming_.size()) < news.snapshot_bytes) {
+    schema::SnapshotFetch next;
+    next.revision = incoming_revision_;
+    next.offset = static_cast<int32_t>(incoming_.size());
+    out.Send(from, next);
+    return;
+  }
+  const auto snapshot = DecodeCompact<schema::Configuration>(incoming_);
+  incoming_revision_ = 0;
+  incoming_.clear();
+  if (snapshot) OnSnapshot(*snapshot);
+}
+
+void ControlPlane::OnSnapshotFetch(const Endpoint& from,
+                                   const schema::SnapshotFetch& fetch,
+                                   Outbox& out) {
+  int32_t offset = fetch.offset;
+  if (outgoing_revision_ != fetch.revision || outgoing_.empty()) {
+    // The asked snapshot is not at hand: start over with the current one.
+    outgoing_revision_ = replica_.revision().value();
+    outgoing_ = EncodeCompact(replica_.current());
+    if (outgoing_revision_ != fetch.revision) offset = 0;
+  }
+  if (offset < 0 || static_cast<size_t>(offset) >= outgoing_.size()) return;
+  schema::ConfigurationNews news;
+  news.first_revision = 0;
+  news.__set_snapshot_revision(outgoing_revision_);
+  news.__set_snapshot_bytes(static_cast<int32_t>(outgoing_.size()));
+  news.__set_offset(offset);
+  news.__set_part(
+      outgoing_.substr(static_cast<size_t>(offset), kSnapshotPartBytes));
+  out.Send(from, std::move(news));
+}
+
+void ControlPlane::SpreadRecord(const schema::ChangeRecord& record,
+                                Outbox& out) {
+  schema::ConfigurationNews news;
+  news.first_revision = record.revision;
+  news.records.push_back(EncodeCompact(record));
+  for (size_t i = 0; i < kRecordFanout; ++i) {
+    const Member* member = membership_.RandomPresent();
+    if (member != nullptr) out.Send(member->endpoint(), news);
+  }
+}
+
+void ControlPlane::TakeOverConfiguration() {
+  services_.SetConfiguration(replica_.current());
+  configuration_changed_ = true;
+  UpdateSelf();
+}
+
+void ControlPlane::UpdateSelf() {
+  membership_.SetDraining(stopping_ ||
+                          mode() != schema::InstanceMode::kServing);
+  Member own;
+  own.record = membership_.self();
+  services_.SetMember(own);
+}
+
+void ControlPlane::SyncMembers() {
+  for (MemberChange& change : membership_.TakeChanges()) {
+    services_.SetMember(change.member);
+    if (!change.member.present()) revisions_.erase(change.member.id());
+    changes_.push_back(std::move(change));
+  }
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/schema/configuration.thrift
@@ -0,0 +1,95 @@
+// The operators' configuration and the changes that lead from one revision to
+// the next.
+namespace cpp sesamesaddle.schema
+
+include "messages.thrift"
+
+enum Priority {
+  kLow = 0
+  kNormal = 1
+  kHigh = 2
+}
+
+// Targets whose name matches `pattern` (with * and ?) in `zone` (empty: any).
+struct TargetRule {
+  1: required string pattern
+  2: required string zone
+}
+
+struct Service {
+  1: required messages.ServiceId id
+  2: required string name
+  3: required messages.PackedEndpoint address
+  4: required Priority priority
+  5: required i32 deadline_ms
+  6: required i32 drain_grace_ms
+  7: required list<TargetRule> targets
+}
+
+enum InstanceMode {
+  kServing = 0
+  kDraining = 1
+  kRetired = 2
+}
+
+struct Configuration {
+  1: required i64 revision
+  2: required map<string, Service> services
+  // Instances that are not simply serving, by name.
+  3: required map<string, InstanceMode> instances
+}
+
+struct CreateService {
+  1: required string name
+  2: required messages.PackedEndpoint address
+  3: optional Priority priority
+  4: optional i32 deadline_ms
+  5: optional i32 drain_grace_ms
+}
+
+struct ChangeService {
+  1: required string name
+  2: optional messages.PackedEndpoint address
+  3: optional Priority priority
+  4: optional i32 deadline_ms
+  5: optional i32 drain_grace_ms
+}
+
+struct RemoveService {
+  1: required string name
+}
+
+struct AllowTargets {
+  1: required string service_name
+  2: required TargetRule rule
+}
+
+struct DenyTargets {
+  1: required string service_name
+  2: required TargetRule rule
+}
+
+struct SetInstanceMode {
+  1: required string name
+  2: required InstanceMode mode
+}
+
+// Exactly one field is set.
+struct Change {
+  1: optional CreateService create_service
+  2: optional ChangeService change_service
+  3: optional RemoveService remove_service
+  4: optional AllowTargets allow_targets
+  5: optional DenyTargets deny_targets
+  6: optional SetInstanceMode set_instance_mode
+}
+
+// One entry of the ordered log; its key in the store ends in its revision.
+struct ChangeRecord {
+  1: required i64 revision
+  2: required string change_id
+  3: required string author
+  4: required i64 time_ms
+  5: required Change change
+  6: required string text
+}
--- /dev/null
+++ b/packages/serving/src/echo_authority.cc
@@ -0,0 +1,133 @@
+#include "serving/echo_authority.h"
+
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
+
+#include <array>
+#include <cstring>
+
+namespace sesamesaddle {
+namespace {
+
+constexpr size_t kKeyBytes = 32;
+constexpr size_t kMacBytes = 8;
+constexpr size_t kBodyBytes = 24;  // Issuer, time of issue, nonce.
+
+void AppendInt(std::string& out, int64_t value) {
+  out.append(reinterpret_cast<const char*>(&value), sizeof(value));
+}
+
+int64_t ReadInt(std::string_view bytes, size_t offset) {
+  int64_t value = 0;
+  std::memcpy(&value, bytes.data() + offset, sizeof(value));
+  return value;
+}
+
+std::string Mac(const std::string& key, const Flow& flow,
+                std::string_view body) {
+  std::string text(body);
+  AppendInt(text, flow.caller.Pack());
+  AppendInt(text, flow.service.Pack());
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest;
+  unsigned length = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+       digest.data(), &length);
+  return {reinterpret_cast<const char*>(digest.data()), kMacBytes};
+}
+
+EchoVerdict JudgeAge(Duration age) {
+  if (age <= EchoAuthority::kLifetime) return EchoVerdict::kFresh;
+  return age < EchoAuthority::kMemory ? EchoVerdict::kStale
+                                      : EchoVerdict::kForgotten;
+}
+
+}  // namespace
+
+EchoAuthority::EchoAuthority(MemberId self, RandomSource& random)
+    : self_(self), random_(random) {
+  while (key_.size() < kKeyBytes) {
+    AppendInt(key_, static_cast<int64_t>(random_.Next()));
+  }
+}
+
+std::string EchoAuthority::Issue(TimePoint now, const Flow& flow) {
+  std::string value;
+  AppendInt(value, self_.value());
+  AppendInt(value, now.time_since_epoch().count());
+  AppendInt(value, static_cast<int64_t>(random_.Next()));
+  return value + Mac(key_, flow, value);
+}
+
+EchoCheck EchoAuthority::Check(TimePoint now, const Flow& flow,
+                               std::string_view value) const {
+  EchoCheck check;
+  if (value.size() != kBodyBytes + kMacBytes) return check;
+  const std::string_view body = value.substr(0, kBodyBytes);
+  check.issuer = MemberId(ReadInt(body, 0));
+  check.nonce = EchoNonce(ReadInt(body, 16));
+  const Grant* grant = FindGrant(flow, check.issuer);
+  if (check.issuer != self_ && grant == nullptr) {
+    check.verdict = EchoVerdict::kForeign;
+    return check;
+  }
+  const std::string mac = Mac(grant == nullptr ? key_ : grant->key, flow, body);
+  if (CRYPTO_memcmp(mac.data(), value.data() + kBodyBytes, kMacBytes) != 0) {
+    return check;
+  }
+  // The clock of an earlier owner is not ours: its values count from the time
+  // it granted us its key, since it issued none afterwards.
+  const Duration age =
+      grant == nullptr
+          ? now - TimePoint(Duration(ReadInt(body, sizeof(int64_t))))
+          : now - grant->granted_at;
+  check.verdict = JudgeAge(age);
+  const auto revoked = revoked_at_.find(flow);
+  if (revoked == revoked_at_.end()) return check;
+  const TimePoint issued_by =
+      grant == nullptr ? TimePoint(Duration(ReadInt(body, sizeof(int64_t))))
+                       : grant->granted_at;
+  if (issued_by <= revoked->second) check.verdict = EchoVerdict::kForgotten;
+  return check;
+}
+
+void EchoAuthority::Revoke(TimePoint now, const Flow& flow) {
+  revoked_at_[flow] = now;
+}
+
+void EchoAuthority::Expire(TimePoint now) {
+  for (auto it = revoked_at_.begin(); it != revoked_at_.end();) {
+    it = now - it->second > kMemory ? revoked_at_.erase(it) : std::next(it);
+  }
+  for (auto flow = grants_.begin(); flow != grants_.end();) {
+    auto& grants = flow->second;
+    for (auto it = grants.begin(); it != grants.end();) {
+      const bool old = now - it->second.granted_at > kMemory;
+      it = old ? grants.erase(it) : std::next(it);
+    }
+    flow = grants.empty() ? grants_.erase(flow) : std::next(flow);
+  }
+}
+
+void EchoAuthority::AddGrant(TimePoint now, const Flow& flow, MemberId issuer,
+                             const std::string& key) {
+  if (issuer != self_) grants_[flow][issuer] = {key, now};
+}
+
+std::map<MemberId, std::string> EchoAuthority::Grants(const Flow& flow) const {
+  std::map<MemberId, std::string> keys;
+  const auto it = grants_.find(flow);
+  if (it == grants_.end()) return keys;
+  for (const auto& [issuer, grant] : it->second) keys[issuer] = grant.key;
+  return keys;
+}
+
+const EchoAuthority::Grant* EchoAuthority::FindGrant(const Flow& flow,
+                                                     MemberId issuer) const {
+  const auto it = grants_.find(flow);
+  if (it == grants_.end()) return nullptr;
+  const auto grant = it->second.find(issuer);
+  return grant == it->second.end() ? nullptr : &grant->second;
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/tools/load/caller.cc
@@ -0,0 +1,256 @@
+#include "caller.h"
+
+#include <cstring>
+
+#include "core/hash.h"
+
+namespace sesamesaddle {
+namespace {
+
+// A feed without news asks again after Max-Age and some more (RFC 7641, 3.3.1).
+constexpr Duration kFeedSilence = std::chrono::seconds(25);
+constexpr Duration kFeedRetry = std::chrono::seconds(1);
+constexpr int kMaxChallenges = 3;
+
+std::string TextOf(const coap_pdu_t* pdu) {
+  size_t length = 0;
+  size_t offset = 0;
+  size_t total = 0;
+  const uint8_t* data = nullptr;
+  if (coap_get_data_large(pdu, &length, &data, &offset, &total) == 0) return "";
+  return {reinterpret_cast<const char*>(data), length};
+}
+
+std::string TokenOf(const coap_pdu_t* pdu) {
+  const coap_bin_const_t token = coap_pdu_get_token(pdu);
+  return {reinterpret_cast<const char*>(token.s), token.length};
+}
+
+std::string OptionOf(const coap_pdu_t* pdu, coap_option_num_t number) {
+  coap_opt_iterator_t iterator;
+  const coap_opt_t* option = coap_check_option(pdu, number, &iterator);
+  if (option == nullptr) return "";
+  return {reinterpret_cast<const char*>(coap_opt_value(option)),
+          coap_opt_length(option)};
+}
+
+bool HasOption(const coap_pdu_t* pdu, coap_option_num_t number) {
+  coap_opt_iterator_t iterator;
+  return coap_check_option(pdu, number, &iterator) != nullptr;
+}
+
+/** @return the word after "name=" in an answer of the target stand-in. */
+std::string Field(const std::string& body, const std::string& name) {
+  const size_t start = body.find(name + "=");
+  if (start == std::string::npos) return "";
+  const size_t value = start + name.size() + 1;
+  return body.substr(value, body.find_first_of(" \n", value) - value);
+}
+
+double Milliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace
+
+Caller::Caller(coap_context_t* context, CallerOptions options, Report& report)
+    : options_(std::move(options)), report_(report) {
+  coap_address_t address;
+  coap_address_init(&address);
+  address.addr.sin = options_.address.ToSockaddr();
+  address.size = sizeof(address.addr.sin);
+  session_ = coap_new_client_session(context, nullptr, &address, COAP_PROTO_UDP);
+  coap_session_set_app_data(session_, this);
+}
+
+Caller::~Caller() { coap_session_release(session_); }
+
+std::string Caller::Send(const std::string& known_token, coap_pdu_code_t code,
+                         const std::string& path, const std::string& query,
+                         bool observe, const std::string& echo) {
+  constexpr size_t kMaxTokenBytes = 8;
+  std::string token = known_token;
+  if (token.empty()) {
+    uint8_t bytes[kMaxTokenBytes];
+    size_t length = 0;
+    coap_session_new_token(session_, &length, bytes);
+    token.assign(reinterpret_cast<const char*>(bytes), length);
+  }
+  coap_pdu_t* pdu = coap_pdu_init(COAP_MESSAGE_CON, code,
+                                  coap_new_message_id(session_),
+                                  coap_session_max_pdu_size(session_));
+  coap_add_token(pdu, token.size(),
+                 reinterpret_cast<const uint8_t*>(token.data()));
+  if (observe) coap_add_option(pdu, COAP_OPTION_OBSERVE, 0, nullptr);
+  coap_add_option(pdu, COAP_OPTION_URI_PATH, path.size(),
+                  reinterpret_cast<const uint8_t*>(path.data()));
+  size_t start = 0;
+  while (start < query.size()) {
+    const size_t end = std::min(query.find('&', start), query.size());
+    coap_add_option(pdu, COAP_OPTION_URI_QUERY, end - start,
+                    reinterpret_cast<const uint8_t*>(query.data() + start));
+    start = end + 1;
+  }
+  if (!echo.empty()) {
+    coap_add_option(pdu, COAP_OPTION_ECHO, echo.size(),
+                    reinterpret_cast<const uint8_t*>(echo.data()));
+  }
+  coap_send(session_, pdu);
+  return token;
+}
+
+void Caller::StartRequest(TimePoint now, RequestKind kind, int64_t id,
+                          size_t large_bytes) {
+  ++report_.requests;
+  busy_ = true;
+  challenges_ = 0;
+  request_ = {kind, id, large_bytes, now, ""};
+  SendRequest("");
+}
+
+void Caller::SendRequest(const std::string& echo) {
+  const std::string id = "id=" + std::to_string(request_.id);
+  switch (request_.kind) {
+    case RequestKind::kRead:
+      request_.token = Send("", COAP_REQUEST_CODE_GET, "item", id, false, echo);
+      return;
+    case RequestKind::kLarge:
+      request_.token =
+          Send("", COAP_REQUEST_CODE_GET, "large",
+               id + "&size=" + std::to_string(request_.bytes), false, echo);
+      return;
+    case RequestKind::kWrite:
+      request_.token =
+          Send("", COAP_REQUEST_CODE_POST, "orders", id, false, echo);
+      return;
+  }
+}
+
+void Caller::StartFeed(TimePoint now) {
+  feed_asked_ = now;
+  if (last_news_ == TimePoint{}) last_news_ = now;
+  feed_token_ = Send(feed_token_, COAP_REQUEST_CODE_GET, "feed", "", true, "");
+}
+
+void Caller::OnTick(TimePoint now, bool stopping) {
+  if (busy_ && now - request_.started > options_.request_timeout) {
+    busy_ = false;
+    ++report_.unanswered;
+    MarkBroken("request_unanswered");
+  }
+  if (!options_.feed || feed_token_.empty() || stopping) return;
+  const Duration gap = now - last_news_;
+  report_.longest_feed_gap_ms =
+      std::max(report_.longest_feed_gap_ms, Milliseconds(gap));
+  if (gap > options_.feed_bound) MarkBroken("feed_silent");
+  if (gap > kFeedSilence && now - feed_asked_ > kFeedSilence) {
+    ++report_.feed_restarts;
+    StartFeed(now);
+  }
+}
+
+void Caller::OnResponse(TimePoint now, const coap_pdu_t* received) {
+  const std::string token = TokenOf(received);
+  if (token == feed_token_) {
+    OnFeedResponse(now, received);
+    return;
+  }
+  if (!busy_ || token != request_.token) return;  // Late; already counted.
+  const auto code = coap_pdu_get_code(received);
+  const std::string echo = OptionOf(received, COAP_OPTION_ECHO);
+  if (code == COAP_RESPONSE_CODE_UNAUTHORIZED && !echo.empty() &&
+      challenges_++ < kMaxChallenges) {
+    SendRequest(echo);
+    return;
+  }
+  EndRequest(now, received);
+}
+
+void Caller::OnFeedResponse(TimePoint now, const coap_pdu_t* received) {
+  const auto code = coap_pdu_get_code(received);
+  if (code != COAP_RESPONSE_CODE_CONTENT ||
+      !HasOption(received, COAP_OPTION_OBSERVE)) {
+    // Refused: come back as RFC 7641 says, after Max-Age.
+    ++report_.feed_restarts;
+    feed_asked_ = now - kFeedSilence + kFeedRetry;
+    return;
+  }
+  const std::string body = TextOf(received);
+  ++report_.notifications;
+  last_news_ = now;
+  if (Field(body, "service") != options_.service) ++report_.wrong_service;
+  const std::string version = Field(body, "version");
+  const int64_t number = version.empty() ? 0 : std::stoll(version);
+  if (number < feed_version_) ++report_.feed_regressions;
+  feed_version_ = std::max(feed_version_, number);
+}
+
+void Caller::EndRequest(TimePoint now, const coap_pdu_t* received) {
+  busy_ = false;
+  const auto code = coap_pdu_get_code(received);
+  const std::string body = TextOf(received);
+  const bool write = request_.kind == RequestKind::kWrite;
+  const bool not_run = body.find("\"outcome\":\"not_run\"") != std::string::npos;
+  const bool unknown = body.find("\"outcome\":\"unknown\"") != std::string::npos;
+  if (not_run) {
+    ++report_.refused;
+    if (write) report_.orders[request_.id] = OrderEnd::kNotRun;
+    return;
+  }
+  if (unknown) {
+    ++report_.unknown;
+    if (write) report_.orders[request_.id] = OrderEnd::kUnknown;
+    if (body.find("owner_gone") != std::string::npos) MarkBroken("owner_gone");
+    return;
+  }
+  if (COAP_RESPONSE_CLASS(code) != 2) {
+    ++report_.errors;
+    if (write) report_.orders[request_.id] = OrderEnd::kUnknown;
+    return;
+  }
+  ++report_.answered;
+  if (write) report_.orders[request_.id] = OrderEnd::kAnswered;
+  const double latency = Milliseconds(now - request_.started);
+  report_.latencies_ms.push_back(latency);
+  report_.latencies_by_service[options_.service].push_back(latency);
+  if (Field(body, "id") != std::to_string(request_.id)) ++report_.wrong_answers;
+  if (Field(body, "service") != options_.service) ++report_.wrong_service;
+  if (!IsWholeAnswer(body)) ++report_.incomplete;
+}
+
+bool Caller::IsWholeAnswer(const std::string& body) const {
+  if (request_.kind != RequestKind::kLarge) return body.back() == '\n';
+  const size_t end = body.rfind("end=");
+  if (end == std::string::npos || end < request_.bytes) return false;
+  return Field(body.substr(end), "end") ==
+         std::to_string(Hash64(body.substr(0, end)));
+}
+
+void Caller::OnNack(const coap_pdu_t* sent) {
+  if (sent == nullptr) return;
+  const std::string token = TokenOf(sent);
+  if (busy_ && token == request_.token) {
+    busy_ = false;
+    ++report_.unanswered;
+    if (request_.kind == RequestKind::kWrite) {
+      report_.orders[request_.id] = OrderEnd::kUnknown;
+    }
+    MarkBroken("request_unanswered");
+  }
+}
+
+void Caller::Finish() {
+  if (!busy_) return;
+  busy_ = false;
+  ++report_.unanswered;
+  MarkBroken("request_unanswered");
+}
+
+void Caller::MarkBroken(const std::string& reason) {
+  if (broken_) return;
+  broken_ = true;
+  ++report_.broken_flows;
+  ++report_.broken_reasons[reason];
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/tools/load/caller.h
@@ -0,0 +1,82 @@
+#ifndef SESAMESADDLE_TOOLS_LOAD_CALLER_H_
+#define SESAMESADDLE_TOOLS_LOAD_CALLER_H_
+
+#include <coap3/coap.h>
+
+#include <cstdint>
+#include <string>
+
+#include "core/endpoint.h"
+#include "core/time.h"
+#include "report.h"
+
+namespace sesamesaddle {
+
+/** What a caller asks for. */
+enum class RequestKind { kRead, kLarge, kWrite };
+
+struct CallerOptions {
+  std::string service;  // Name, which answers must carry.
+  Endpoint address;
+  bool feed = false;
+  /** Longest time without a notification before a flow counts as broken. */
+  Duration feed_bound = std::chrono::seconds(5);
+  Duration request_timeout = std::chrono::seconds(40);
+};
+
+/** One caller: a libcoap session with one request at a time and maybe a feed. */
+class Caller {
+ public:
+  Caller(coap_context_t* context, CallerOptions options, Report& report);
+  ~Caller();
+  Caller(const Caller&) = delete;
+  Caller& operator=(const Caller&) = delete;
+
+  bool idle() const { return !busy_; }
+  const CallerOptions& options() const { return options_; }
+
+  void StartRequest(TimePoint now, RequestKind kind, int64_t id,
+                    size_t large_bytes);
+  void StartFeed(TimePoint now);
+  void OnTick(TimePoint now, bool stopping);
+  /** A response of libcoap; `now` is its time of arrival. */
+  void OnResponse(TimePoint now, const coap_pdu_t* received);
+  /** libcoap has given up on a message, or got a reset. */
+  void OnNack(const coap_pdu_t* sent);
+  /** Counts what has not ended. */
+  void Finish();
+
+ private:
+  struct Request {
+    RequestKind kind = RequestKind::kRead;
+    int64_t id = 0;
+    size_t bytes = 0;
+    TimePoint started;
+    std::string token;
+  };
+
+  std::string Send(const std::string& token, coap_pdu_code_t code,
+                   const std::string& path, const std::string& query,
+                   bool observe, const std::string& echo);
+  void SendRequest(const std::string& echo);
+  void OnFeedResponse(TimePoint now, const coap_pdu_t* received);
+  void EndRequest(TimePoint now, const coap_pdu_t* received);
+  bool IsWholeAnswer(const std::string& body) const;
+  void MarkBroken(const std::string& reason);
+
+  CallerOptions options_;
+  Report& report_;
+  coap_session_t* session_;
+  bool busy_ = false;
+  bool broken_ = false;
+  int challenges_ = 0;
+  Request request_;
+  std::string feed_token_;
+  TimePoint feed_asked_{};
+  TimePoint last_news_{};
+  int64_t feed_version_ = 0;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_TOOLS_LOAD_CALLER_H_
