--- a/packages/agent/include/agent/agent.h
+++ b/packages/agent/include/agent/agent.h
@@ -111,10 +111,11 @@
   // CoAP.
   void OnRequest(TimePoint now, const schema::Envelope& envelope,
                  const Flow& flow, const coap::Message& request, Outbox& out);
+  bool JoinFeed(TimePoint now, const Pending& pending, Outbox& out);
   bool RefuseUnsupported(TimePoint now, const Pending& pending, Outbox& out);
   bool ServeLaterBlock(TimePoint now, const Pending& pending, Outbox& out);
-  void OnWrite(TimePoint now, const schema::Envelope& envelope,
-               Pending pending, const coap::Message& request, Outbox& out);
+  void OnWrite(TimePoint now, const schema::Envelope& envelope, Pending pending,
+               const coap::Message& request, Outbox& out);
   void RunWrite(TimePoint now, Pending pending, const coap::Message& request,
                 const EchoCheck& check, Outbox& out);
   void Challenge(TimePoint now, const Pending& pending, Outbox& out);
--- a/packages/agent/include/agent/feed_publisher.h
+++ b/packages/agent/include/agent/feed_publisher.h
@@ -30,6 +30,8 @@
   Duration poll_wait = std::chrono::seconds(15);
   Duration first_poll_retry = std::chrono::milliseconds(200);
   Duration longest_poll_retry = std::chrono::seconds(2);
+  /** Between polls of a target that gives no entity tag, so never waits. */
+  Duration untagged_poll = std::chrono::seconds(1);
 };
 
 struct FeedCounters {
@@ -54,9 +56,12 @@
 
 /** The state of a topic as the target last gave it. */
 struct TopicState {
-  std::string entity_tag;
+  std::string entity_tag;  // Empty if the target gives none.
   std::string content_type;
   std::string body;
+
+  /** The entity tag, or a hash of the body in its place. */
+  std::string Version() const;
 };
 
 /** A notification to be encoded and sent to the caller of a flow. */
@@ -84,6 +89,9 @@
   FeedPublisher(const FeedOptions& options, std::function<CallId()> new_call,
                 Send send);
 
+  /** @return the state of a topic that is being polled, or null. */
+  const TopicState* Find(const Topic& topic) const;
+
   /**
    * Adds a feed whose caller has just been given `state`.
    * @return the sequence number of that answer
@@ -117,8 +125,8 @@
     std::string token;
     Topic topic;
     uint32_t sequence = 0;
-    std::string sent_tag;  // Of the state last sent.
-    bool pending = false;  // A notification waits for its acknowledgement.
+    std::string sent_version;  // Of the state last sent.
+    bool pending = false;      // A notification waits for its acknowledgement.
     uint16_t message_id = 0;
     int sends = 0;
     TimePoint next_send;
--- a/packages/agent/include/agent/flow_registry.h
+++ b/packages/agent/include/agent/flow_registry.h
@@ -30,7 +30,7 @@
   int running = 0;  // Requests without an answer yet.
   int feeds = 0;
   bool handing_over = false;
-  Homes homes;  // Where the flow is registered.
+  Homes homes;                         // Where the flow is registered.
   std::vector<schema::Envelope> held;  // Arrived while it is handed over.
 };
 
@@ -86,7 +86,9 @@
   void RegisterAll();
 
   /** @return envelopes of owned flows, to be served now. */
-  std::vector<schema::Envelope> TakeReady() { return std::exchange(ready_, {}); }
+  std::vector<schema::Envelope> TakeReady() {
+    return std::exchange(ready_, {});
+  }
   /** @return flows that another owner holds by now, and that owner. */
   std::vector<std::pair<Flow, Ownership>> TakeSuperseded() {
     return std::exchange(superseded_, {});
--- a/packages/agent/include/agent/lender.h
+++ b/packages/agent/include/agent/lender.h
@@ -37,6 +37,7 @@
     schema::RunOutcome::type outcome = schema::RunOutcome::kAccepted;
     int status = 0;
     std::string content_type;
+    std::string entity_tag;
     std::string body;
     TimePoint finished_at;
   };
@@ -48,8 +49,8 @@
   Request* FindLocal(CallId local);
   Request& Add(Request request);
   /** Notes the outcome and tells the sender. */
-  void Finish(TimePoint now, Request& request,
-              schema::RunOutcome::type outcome, Outbox& out);
+  void Finish(TimePoint now, Request& request, schema::RunOutcome::type outcome,
+              Outbox& out);
   /** Sends what is known of the request from byte `offset` on. */
   void Report(const Request& request, int32_t offset, Outbox& out) const;
   /** @return running requests whose deadline has passed. */
--- a/packages/agent/include/agent/request_runner.h
+++ b/packages/agent/include/agent/request_runner.h
@@ -97,12 +97,10 @@
                       Outbox& out);
   void OnRunRequest(TimePoint now, const Endpoint& from,
                     const schema::RunRequest& request, Outbox& out);
-  void OnRunResult(TimePoint now, const schema::RunResult& result,
-                   Outbox& out);
+  void OnRunResult(TimePoint now, const schema::RunResult& result, Outbox& out);
   void OnRunFetch(TimePoint now, const Endpoint& from,
                   const schema::RunFetch& fetch, Outbox& out);
-  void OnRunCancel(TimePoint now, const schema::RunCancel& cancel,
-                   Outbox& out);
+  void OnRunCancel(TimePoint now, const schema::RunCancel& cancel, Outbox& out);
   void OnTick(TimePoint now, Outbox& out);
   void OnMemberGone(TimePoint now, MemberId member, Outbox& out);
 
--- a/packages/agent/src/agent.cc
+++ b/packages/agent/src/agent.cc
@@ -8,6 +8,7 @@
 namespace sesamesaddle {
 namespace {
 
+constexpr int kHttpOk = 200;
 // Shorter than the first repetition of a notification by far.
 constexpr Duration kFeedPeriod = std::chrono::milliseconds(50);
 constexpr Duration kMemorySweepPeriod = std::chrono::seconds(5);
@@ -187,8 +188,8 @@
   const bool ours = entry != nullptr && ServiceId(entry->service.id) == service;
   const bool known_flow = flows_.Find(FlowOf(envelope)) != nullptr;
   // A flow that is still here while its service moves away is handed over.
-  if (!ours || !(known_flow || control_.services().Serves(control_.self_id(),
-                                                          service))) {
+  if (!ours || !(known_flow ||
+                 control_.services().Serves(control_.self_id(), service))) {
     Refuse(from, envelope, schema::MisrouteReason::kWrongService, out);
     return false;
   }
@@ -265,8 +266,8 @@
     coap::Message reset;
     reset.type = coap::Type::kReset;
     reset.message_id = message->message_id;
-    SendDatagram(flow, Endpoint::Unpack(envelope.balancer),
-                 coap::Encode(reset), out);
+    SendDatagram(flow, Endpoint::Unpack(envelope.balancer), coap::Encode(reset),
+                 out);
   }
 }
 
@@ -305,10 +306,28 @@
   if (request.code == coap::Code::kGet && observe) {
     pending.observe = *observe == kRegister;
     if (!pending.observe) feeds_.Deregister(flow, request.token, out);
+    if (pending.observe && JoinFeed(now, pending, out)) return;
   }
   SubmitJob(now, std::move(pending), request.payload, out);
 }
 
+/** A topic that is polled already gives its state without a request. */
+bool Agent::JoinFeed(TimePoint now, const Pending& pending, Outbox& out) {
+  const OwnedFlow* owned = flows_.Find(pending.flow);
+  if (owned == nullptr) return false;
+  const TopicState* state =
+      feeds_.Find({owned->service, pending.request.Path()});
+  if (state == nullptr) return false;
+  JobResult result;
+  result.kind = JobResult::Kind::kAnswered;
+  result.status = kHttpOk;
+  result.content_type = state->content_type;
+  result.entity_tag = state->entity_tag;
+  result.body = state->body;
+  Reply(now, pending, MakeAnswer(now, pending, result, out), out);
+  return true;
+}
+
 bool Agent::RefuseUnsupported(TimePoint now, const Pending& pending,
                               Outbox& out) {
   coap::Message answer;
@@ -338,8 +357,7 @@
     return true;
   }
   if (block->number == 0) return false;
-  const LargeBody* body =
-      bodies_.Find(pending.flow, pending.request.Path());
+  const LargeBody* body = bodies_.Find(pending.flow, pending.request.Path());
   if (body != nullptr) {
     Reply(now, pending, MakeBlock(*body, *block), out);
     return true;
@@ -426,8 +444,7 @@
 
 /** Only the issuer of an Echo value knows whether a request ran under it. */
 void Agent::PassToIssuer(TimePoint now, const schema::Envelope& envelope,
-                         MemberId issuer, const Pending& pending,
-                         Outbox& out) {
+                         MemberId issuer, const Pending& pending, Outbox& out) {
   const Member* member = control_.membership().Find(issuer);
   const bool reachable = member != nullptr && member->present() &&
                          !liveness_.Silent(now, issuer) &&
@@ -527,11 +544,9 @@
   if (pending.observe && answer.code == coap::Code::kContent &&
       owned != nullptr) {
     const Topic topic{owned->service, request.Path()};
-    const std::string tag =
-        result.entity_tag.empty() ? large.entity_tag : result.entity_tag;
-    const uint32_t sequence =
-        feeds_.Register(now, pending.flow, request.token, topic,
-                        {tag, result.content_type, result.body}, out);
+    const uint32_t sequence = feeds_.Register(
+        now, pending.flow, request.token, topic,
+        {result.entity_tag, result.content_type, result.body}, out);
     owned->feeds = static_cast<int>(feeds_.CountOf(pending.flow));
     answer.AddUint(coap::OptionNumber::kObserve, sequence);
     const auto max_age = std::chrono::duration_cast<std::chrono::seconds>(
@@ -587,8 +602,8 @@
   message.token = notification.token;
   message.message_id = owned == nullptr ? 0 : owned->next_message_id++;
   message.AddUint(coap::OptionNumber::kObserve, notification.sequence);
-  const auto max_age = std::chrono::duration_cast<std::chrono::seconds>(
-      notification.max_age);
+  const auto max_age =
+      std::chrono::duration_cast<std::chrono::seconds>(notification.max_age);
   message.AddUint(coap::OptionNumber::kMaxAge,
                   static_cast<uint32_t>(max_age.count()));
   const TopicState& state = *notification.state;
@@ -707,8 +722,7 @@
     nonces_.Import(now, EchoNonce(remembered.nonce), std::move(request));
   }
   const ServiceId service(state.service_id);
-  OwnedFlow& owned =
-      flows_.Adopt(now, flow, service, Epoch(state.epoch), out);
+  OwnedFlow& owned = flows_.Adopt(now, flow, service, Epoch(state.epoch), out);
   owned.balancer = Endpoint::Unpack(state.balancer);
   owned.next_message_id = static_cast<uint16_t>(state.next_message_id);
   for (const schema::FeedState& feed : state.feeds) {
@@ -720,12 +734,10 @@
 bool Agent::MustHandOver(TimePoint now, const Flow& flow,
                          const OwnedFlow& owned) const {
   if (stopping_ || control_.services().Leaving(control_.self_id())) return true;
-  const ServiceEntry* entry =
-      control_.services().FindByAddress(flow.service);
-  const bool served = entry != nullptr &&
-                      ServiceId(entry->service.id) == owned.service &&
-                      control_.services().Serves(control_.self_id(),
-                                                 owned.service);
+  const ServiceEntry* entry = control_.services().FindByAddress(flow.service);
+  const bool served =
+      entry != nullptr && ServiceId(entry->service.id) == owned.service &&
+      control_.services().Serves(control_.self_id(), owned.service);
   // Feeds need the target itself; single requests can be lent out.
   return !served || (owned.feeds > 0 && runner_.TargetEjected(now));
 }
@@ -745,9 +757,9 @@
 }
 
 void Agent::HandOverFlows(TimePoint now, Outbox& out) {
-  const bool leaving_now =
-      stopping_ || control_.services().Leaving(control_.self_id()) ||
-      runner_.TargetEjected(now);
+  const bool leaving_now = stopping_ ||
+                           control_.services().Leaving(control_.self_id()) ||
+                           runner_.TargetEjected(now);
   if (!options_.hand_over || !(leaving_now || scan_flows_)) return;
   if (!handover_.HasRoom()) return;
   constexpr size_t kFlowsPerTick =
--- a/packages/agent/src/feed_publisher.cc
+++ b/packages/agent/src/feed_publisher.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/hash.h"
+
 namespace sesamesaddle {
 namespace {
 
@@ -19,6 +21,17 @@
       new_call_(std::move(new_call)),
       send_(std::move(send)) {}
 
+std::string TopicState::Version() const {
+  return entity_tag.empty() ? std::to_string(Hash64(body)) : entity_tag;
+}
+
+const TopicState* FeedPublisher::Find(const Topic& topic) const {
+  const auto it = polls_.find(topic);
+  const bool live = it != polls_.end() && it->second.known &&
+                    it->second.retry == Duration::zero();
+  return live ? &it->second.state : nullptr;
+}
+
 uint32_t FeedPublisher::Register(TimePoint now, const Flow& flow,
                                  const std::string& token, const Topic& topic,
                                  const TopicState& state, Outbox& out) {
@@ -29,7 +42,7 @@
   }
   Feed& feed = known != nullptr ? *known : Add(flow, token, topic);
   feed.sequence = (feed.sequence + 1) & kSequenceMask;
-  feed.sent_tag = state.entity_tag;
+  feed.sent_version = state.Version();
   feed.pending = false;
   feed.has_news = false;
   feed.next_send = now + options_.keepalive;
@@ -84,6 +97,10 @@
       OnNewState(now, poll,
                  {answer.entity_tag, answer.content_type, answer.body}, out);
     }
+    if (poll.state.entity_tag.empty()) {
+      poll.next_start = now + options_.untagged_poll;
+      return true;
+    }
     StartPoll(now, topic, poll, out);
     return true;
   }
@@ -95,12 +112,12 @@
 
 void FeedPublisher::OnNewState(TimePoint now, Poll& poll, TopicState state,
                                Outbox& out) {
-  if (poll.known && poll.state.entity_tag == state.entity_tag) return;
+  if (poll.known && poll.state.Version() == state.Version()) return;
   poll.state = std::move(state);
   poll.known = true;
   for (const auto& [flow, token] : poll.feeds) {
     Feed* feed = FindFeed(flow, token);
-    if (feed->sent_tag == poll.state.entity_tag) continue;
+    if (feed->sent_version == poll.state.Version()) continue;
     feed->has_news = true;
     if (!feed->pending) SendNewest(now, flow, *feed, out);
   }
@@ -145,7 +162,7 @@
   feed.message_id = send_(notification, out);
   feed.pending = true;
   feed.has_news = false;
-  feed.sent_tag = poll.state.entity_tag;
+  feed.sent_version = poll.state.Version();
   feed.next_send = now + options_.first_retry * (int64_t{1} << feed.sends);
   ++feed.sends;
 }
@@ -157,7 +174,7 @@
   TargetRequest request;
   request.method = "GET";
   request.path = topic.path;
-  request.entity_tag = poll.known ? poll.state.entity_tag : "";
+  if (poll.known) request.entity_tag = poll.state.entity_tag;
   request.wait = options_.poll_wait;
   request.deadline = options_.poll_wait + std::chrono::seconds(5);
   poll.next_start = now;
@@ -173,7 +190,7 @@
     state.token = feed.token;
     state.path = feed.topic.path;
     state.sequence = static_cast<int32_t>(feed.sequence);
-    state.entity_tag = feed.sent_tag;
+    state.entity_tag = feed.sent_version;
     states.push_back(std::move(state));
   }
   return states;
@@ -184,9 +201,10 @@
   if (FindFeed(flow, state.token) != nullptr) return;
   const Topic topic{service, state.path};
   Feed& feed = Add(flow, state.token, topic);
-  feed.sequence = (static_cast<uint32_t>(state.sequence) +
-                   kHandoverSequenceGap) & kSequenceMask;
-  feed.sent_tag = state.entity_tag;
+  feed.sequence =
+      (static_cast<uint32_t>(state.sequence) + kHandoverSequenceGap) &
+      kSequenceMask;
+  feed.sent_version = state.entity_tag;
   // Whether the last notification arrived is unknown: send the state again.
   feed.next_send = now;
   Poll& poll = polls_[topic];
@@ -226,9 +244,9 @@
   const auto it = feeds_.find(flow);
   if (it == feeds_.end()) return;
   auto& feeds = it->second;
-  const auto feed = std::find_if(feeds.begin(), feeds.end(), [&](const Feed& f) {
-    return f.token == token;
-  });
+  const auto feed =
+      std::find_if(feeds.begin(), feeds.end(),
+                   [&](const Feed& f) { return f.token == token; });
   if (feed == feeds.end()) return;
   const auto poll = polls_.find(feed->topic);
   poll->second.feeds.erase({flow, token});
--- a/packages/agent/src/flow_registry.cc
+++ b/packages/agent/src/flow_registry.cc
@@ -52,7 +52,8 @@
   if (const auto moved = moved_.find(flow); moved != moved_.end()) {
     const MemberId owner = moved->second.owner;
     if (UsableOwner(now, owner) &&
-        Forward(now, envelope, owner, schema::Purpose::kForward, Epoch(), out)) {
+        Forward(now, envelope, owner, schema::Purpose::kForward, Epoch(),
+                out)) {
       return;
     }
     moved_.erase(moved);
@@ -168,7 +169,8 @@
   lookup.next_retry = now + options_.lookup_retry;
   lookup.held.push_back(envelope);
   if (options_.use_directory) {
-    if (const auto gone = directory_.Find(flow)) lookup.known_epoch = gone->epoch;
+    if (const auto gone = directory_.Find(flow))
+      lookup.known_epoch = gone->epoch;
     lookup.awaiting = ChooseAsked(now, flow, *entry);
   }
   ++counters_.lookups;
@@ -242,7 +244,8 @@
              lookup != lookups_.end()) {
     // Both look for the same flow: the one of the higher rank places it.
     const MemberId asker(query.sender);
-    reply.placing = RendezvousWeight(flow, self) > RendezvousWeight(flow, asker);
+    reply.placing =
+        RendezvousWeight(flow, self) > RendezvousWeight(flow, asker);
   }
   out.Send(from, std::move(reply));
 }
@@ -351,8 +354,8 @@
   OnEnvelope(now, control_.self_endpoint(), again, out);
 }
 
-OwnedFlow& FlowRegistry::Own(TimePoint now, const Flow& flow,
-                             ServiceId service, Epoch epoch) {
+OwnedFlow& FlowRegistry::Own(TimePoint now, const Flow& flow, ServiceId service,
+                             Epoch epoch) {
   moved_.erase(flow);
   OwnedFlow& owned = owned_[flow];
   owned.service = service;
@@ -434,9 +437,8 @@
     auto held = directory_.Register(flow, offered);
     const Member* holder =
         held ? control_.membership().Find(held->owner) : nullptr;
-    const bool holder_gone =
-        held && held->owner != control_.self_id() &&
-        (holder == nullptr || !holder->present());
+    const bool holder_gone = held && held->owner != control_.self_id() &&
+                             (holder == nullptr || !holder->present());
     if (holder_gone) {
       directory_.Remove(flow, held->owner);
       held = directory_.Register(flow, offered);
@@ -553,8 +555,8 @@
   const MemberId self = control_.self_id();
   directory_.RemoveIf([&](const Flow& flow, const Ownership& ownership) {
     const Member* owner = control_.membership().Find(ownership.owner);
-    const bool gone = ownership.owner != self &&
-                      (owner == nullptr || !owner->present());
+    const bool gone =
+        ownership.owner != self && (owner == nullptr || !owner->present());
     const ServiceEntry* entry = ServiceOf(flow);
     if (gone || entry == nullptr) return true;
     const Homes homes = FindHomes(flow, entry->homes);
--- a/packages/agent/src/lender.cc
+++ b/packages/agent/src/lender.cc
@@ -28,8 +28,7 @@
   Report(request, 0, out);
 }
 
-void Lender::Report(const Request& request, int32_t offset,
-                    Outbox& out) const {
+void Lender::Report(const Request& request, int32_t offset, Outbox& out) const {
   schema::RunResult result;
   result.call = request.call;
   result.sender = self_.value();
@@ -41,6 +40,7 @@
     result.part = request.body.substr(static_cast<size_t>(offset), kPartBytes);
   }
   result.content_type = request.content_type;
+  result.entity_tag = request.entity_tag;
   out.Send(request.from, std::move(result));
 }
 
--- a/packages/agent/src/request_runner.cc
+++ b/packages/agent/src/request_runner.cc
@@ -61,13 +61,11 @@
 void RequestRunner::Dispatch(TimePoint now, Entry& entry, Outbox& out) {
   ++entry.attempts;
   entry.phase = Phase::kWaiting;
-  const bool here = Accepting(now) &&
-                    entry.tried.count(control_.self_id()) == 0 &&
-                    control_.services().Serves(control_.self_id(),
-                                               entry.job.service);
+  const bool here =
+      Accepting(now) && entry.tried.count(control_.self_id()) == 0 &&
+      control_.services().Serves(control_.self_id(), entry.job.service);
   MemberId peer;
-  const bool idle_here =
-      here && queue_.queued() == 0 && queue_.HasFreeSlot();
+  const bool idle_here = here && queue_.queued() == 0 && queue_.HasFreeSlot();
   if (idle_here && !PreferPeer(now, entry, &peer)) {
     queue_.TryStart();
     StartHere(now, entry, out);
@@ -147,10 +145,9 @@
   entry.phase = Phase::kHere;
   entry.started = now;
   ++counters_.run_here;
-  out.Add(MakeCall(now, entry.job.id,
-                   service == nullptr ? "" : service->service.name,
-                   entry.job.method, entry.job.path, entry.job.body,
-                   entry.job.deadline));
+  out.Add(MakeCall(
+      now, entry.job.id, service == nullptr ? "" : service->service.name,
+      entry.job.method, entry.job.path, entry.job.body, entry.job.deadline));
 }
 
 void RequestRunner::PumpQueue(TimePoint now, Outbox& out) {
@@ -258,6 +255,7 @@
   done.kind = JobResult::Kind::kAnswered;
   done.status = result.status;
   done.content_type = result.content_type;
+  done.entity_tag = result.entity_tag;
   done.body = std::move(entry.received);
   Finish(entry, std::move(done));
 }
@@ -364,6 +362,7 @@
       outcome = schema::RunOutcome::kAnswered;
       lent->status = answer.status;
       lent->content_type = std::move(answer.content_type);
+      lent->entity_tag = std::move(answer.entity_tag);
       lent->body = std::move(answer.body);
     }
     lender_.Finish(now, *lent, outcome, out);
@@ -377,8 +376,8 @@
   FreeSlot(now, started, out);
 }
 
-void RequestRunner::FinishHere(TimePoint now, Entry& entry,
-                               TargetAnswer answer, Outbox& out) {
+void RequestRunner::FinishHere(TimePoint now, Entry& entry, TargetAnswer answer,
+                               Outbox& out) {
   entry.phase = Phase::kWaiting;
   if (answer.kind == TargetAnswer::Kind::kNotSent || answer.shed) {
     entry.tried.insert(control_.self_id());
--- a/packages/cli/src/client.cc
+++ b/packages/cli/src/client.cc
@@ -87,11 +87,11 @@
     std::optional<HttpResult> result;
     EventLoop loop(clock_);
     HttpClient http(loop, server_);
-    const auto call = http.Call(request, ConnectionUse::kFresh,
-                                [&](HttpResult received) {
-                                  result = std::move(received);
-                                  loop.Stop();
-                                });
+    const auto call =
+        http.Call(request, ConnectionUse::kFresh, [&](HttpResult received) {
+          result = std::move(received);
+          loop.Stop();
+        });
     const auto timer =
         loop.After(std::chrono::milliseconds(options_.timeout_ms) + kReplySlack,
                    [&loop] { loop.Stop(); });
@@ -119,8 +119,8 @@
       return;
     }
     const bool syntax = reply.outcome == schema::CommandOutcome::kSyntaxError;
-    (syntax ? std::cerr : std::cout) << FormatReply(command, reply)
-                                     << std::flush;
+    (syntax ? std::cerr : std::cout)
+        << FormatReply(command, reply) << std::flush;
   }
 
   static ClientExit ToExit(schema::CommandOutcome::type outcome) {
@@ -164,7 +164,8 @@
 
 std::string Join(const std::vector<std::string>& words) {
   std::string text;
-  for (const std::string& word : words) text += (text.empty() ? "" : " ") + word;
+  for (const std::string& word : words)
+    text += (text.empty() ? "" : " ") + word;
   return text;
 }
 
@@ -174,8 +175,8 @@
                         const schema::CommandReply& reply) {
   if (reply.__isset.column) {
     const size_t column = static_cast<size_t>(std::max(1, reply.column));
-    return command + "\n" + std::string(column - 1, ' ') + "^\n" +
-           "column " + std::to_string(column) + ": " + reply.message + "\n";
+    return command + "\n" + std::string(column - 1, ' ') + "^\n" + "column " +
+           std::to_string(column) + ": " + reply.message + "\n";
   }
   if (reply.__isset.table) return FormatTable(reply.table);
   const bool ends = !reply.message.empty() && reply.message.back() == '\n';
@@ -228,8 +229,10 @@
   if (!options.token_file.empty()) {
     std::ifstream file(options.token_file);
     if (!(file >> token)) {
-      return Fault("--token-file (SESAMESADDLE_TOKEN_FILE): no token can be "
-                   "read from \"" + options.token_file + "\"");
+      return Fault(
+          "--token-file (SESAMESADDLE_TOKEN_FILE): no token can be "
+          "read from \"" +
+          options.token_file + "\"");
     }
   }
   const std::string command = Join(options.words);
--- a/packages/coap/src/message.cc
+++ b/packages/coap/src/message.cc
@@ -107,8 +107,7 @@
 }
 
 std::string Message::Path() const {
-  const std::string path =
-      JoinOptions(*this, OptionNumber::kUriPath, '/', '/');
+  const std::string path = JoinOptions(*this, OptionNumber::kUriPath, '/', '/');
   const std::string query =
       JoinOptions(*this, OptionNumber::kUriQuery, '?', '&');
   return (path.empty() ? "/" : path) + query;
@@ -200,10 +199,9 @@
   out.push_back(static_cast<char>(message.message_id));
   out += message.token;
   std::vector<Option> options = message.options;
-  std::stable_sort(options.begin(), options.end(),
-                   [](const Option& a, const Option& b) {
-                     return a.number < b.number;
-                   });
+  std::stable_sort(
+      options.begin(), options.end(),
+      [](const Option& a, const Option& b) { return a.number < b.number; });
   uint16_t previous = 0;
   for (const Option& option : options) {
     AppendOption(out, static_cast<uint16_t>(option.number - previous),
--- a/packages/command/src/command.cc
+++ b/packages/command/src/command.cc
@@ -367,9 +367,7 @@
 
   Word Peek() const { return AtEnd() ? Word{} : words_[next_]; }
   bool AtEnd() const { return next_ >= words_.size(); }
-  size_t Column() const {
-    return AtEnd() ? end_column_ : words_[next_].column;
-  }
+  size_t Column() const { return AtEnd() ? end_column_ : words_[next_].column; }
 
   std::vector<Word> words_;
   size_t end_column_;
--- a/packages/command/src/table.cc
+++ b/packages/command/src/table.cc
@@ -60,8 +60,8 @@
     const schema::Table& table, const std::vector<Condition>& conditions) {
   schema::Table result = table;
   for (const Condition& condition : conditions) {
-    const auto column = std::find(table.columns.begin(), table.columns.end(),
-                                  condition.column);
+    const auto column =
+        std::find(table.columns.begin(), table.columns.end(), condition.column);
     if (column == table.columns.end()) {
       std::string names;
       for (const std::string& name : table.columns) names += " " + name;
@@ -95,8 +95,8 @@
     text += FormatRow(row.cells, widths);
   }
   const size_t count = table.rows.size();
-  return text + "(" + std::to_string(count) + (count == 1 ? " row)" : " rows)") +
-         "\n";
+  return text + "(" + std::to_string(count) +
+         (count == 1 ? " row)" : " rows)") + "\n";
 }
 
 }  // namespace sesamesaddle
--- a/packages/configuration/src/change_log.cc
+++ b/packages/configuration/src/change_log.cc
@@ -38,8 +38,7 @@
       on_record_(std::move(on_record)),
       on_snapshot_(std::move(on_snapshot)) {}
 
-void ChangeLog::Submit(schema::ChangeRecord record, Duration limit,
-                       Done done) {
+void ChangeLog::Submit(schema::ChangeRecord record, Duration limit, Done done) {
   auto submission = std::make_shared<Submission>();
   submission->record = std::move(record);
   submission->give_up = scheduler_.Now() + limit;
@@ -58,8 +57,8 @@
     schema::Configuration trial = replica_.current();
     const auto applied = ApplyChange(trial, record.change, record.revision);
     if (!applied) {
-      submission->done({SubmitResult::Outcome::kRefused, 0,
-                        applied.error().message});
+      submission->done(
+          {SubmitResult::Outcome::kRefused, 0, applied.error().message});
       return;
     }
   }
@@ -236,8 +235,7 @@
 }
 
 void ChangeLog::Trim() {
-  const int64_t oldest_kept =
-      replica_.revision().value() - kKeptBehindSnapshot;
+  const int64_t oldest_kept = replica_.revision().value() - kKeptBehindSnapshot;
   for (int64_t revision = oldest_kept - kSnapshotEvery; revision < oldest_kept;
        ++revision) {
     if (revision > 0) store_.Remove(LogKey(revision), [](auto) {});
--- a/packages/configuration/src/change_rules.cc
+++ b/packages/configuration/src/change_rules.cc
@@ -31,9 +31,9 @@
 
 Result CheckRange(const char* what, int value, int low, int high) {
   if (value >= low && value <= high) return {};
-  return Refuse(RefusalReason::kBadValue,
-                std::string(what) + " must be from " + std::to_string(low) +
-                    " to " + std::to_string(high) + " ms");
+  return Refuse(RefusalReason::kBadValue, std::string(what) + " must be from " +
+                                              std::to_string(low) + " to " +
+                                              std::to_string(high) + " ms");
 }
 
 Result CheckAddressFree(const schema::Configuration& configuration,
@@ -80,9 +80,9 @@
                   "service " + change.name + " exists");
   }
   if (configuration.services.size() >= kMaxServices) {
-    return Refuse(RefusalReason::kTooManyServices, "there are " +
-                                                       std::to_string(kMaxServices) +
-                                                       " services already");
+    return Refuse(
+        RefusalReason::kTooManyServices,
+        "there are " + std::to_string(kMaxServices) + " services already");
   }
   schema::Service service;
   service.id = revision;
@@ -129,9 +129,9 @@
     return Refuse(RefusalReason::kRuleExists, "the rule exists");
   }
   if (rules.size() >= kMaxRulesPerService) {
-    return Refuse(RefusalReason::kBadValue, "the service has " +
-                                                std::to_string(rules.size()) +
-                                                " rules already");
+    return Refuse(
+        RefusalReason::kBadValue,
+        "the service has " + std::to_string(rules.size()) + " rules already");
   }
   rules.push_back(change.rule);
   return {};
--- a/packages/configuration/src/replica.cc
+++ b/packages/configuration/src/replica.cc
@@ -52,8 +52,7 @@
 
 void ConfigurationReplica::ApplyEarlyRecords() {
   early_.erase(early_.begin(), early_.upper_bound(current_.revision));
-  while (!early_.empty() &&
-         early_.begin()->first == current_.revision + 1) {
+  while (!early_.empty() && early_.begin()->first == current_.revision + 1) {
     const schema::ChangeRecord record = early_.begin()->second;
     early_.erase(early_.begin());
     if (!ApplyChange(current_, record.change, record.revision)) return;
--- a/packages/daemon/src/agent_role.cc
+++ b/packages/daemon/src/agent_role.cc
@@ -111,15 +111,13 @@
   });
   // On a connection of its own a failure to connect proves that the target
   // did not take the request; a kept connection may be closed already.
-  const auto use = start.request.idempotent ? ConnectionUse::kPooled
-                                            : ConnectionUse::kFresh;
-  call.call = target_.Call(MakeRequest(start.request), use,
-                           [this, id](HttpResult result) {
-                             // The call object is still in use here.
-                             loop_.Post([this, id, result]() {
-                               Finish(id, ToAnswer(result));
-                             });
-                           });
+  const auto use =
+      start.request.idempotent ? ConnectionUse::kPooled : ConnectionUse::kFresh;
+  call.call = target_.Call(
+      MakeRequest(start.request), use, [this, id](HttpResult result) {
+        // The call object is still in use here.
+        loop_.Post([this, id, result]() { Finish(id, ToAnswer(result)); });
+      });
 }
 
 void AgentRole::Finish(CallId id, TargetAnswer answer) {
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -46,11 +46,11 @@
 
 tl::expected<void, NetError> Daemon::OpenSockets() {
   const auto carry_out = [this](Outbox& out) { CarryOutActions(out); };
-  auto socket = UdpSocket::Open(
-      loop_, Endpoint::Unpack(settings_.listen),
-      [this](const Endpoint& from, std::string_view bytes) {
-        OnDatagram(from, bytes);
-      });
+  auto socket =
+      UdpSocket::Open(loop_, Endpoint::Unpack(settings_.listen),
+                      [this](const Endpoint& from, std::string_view bytes) {
+                        OnDatagram(from, bytes);
+                      });
   if (!socket) return tl::unexpected(socket.error());
   socket_ = std::move(*socket);
   const schema::MemberRecord self = MakeSelf();
@@ -59,8 +59,8 @@
     if (!role) return tl::unexpected(role.error());
     role_ = std::move(*role);
   } else {
-    role_ = std::make_unique<AgentRole>(loop_, settings_, self, random_,
-                                        carry_out);
+    role_ =
+        std::make_unique<AgentRole>(loop_, settings_, self, random_, carry_out);
   }
   ControlPlane& control = role_->control();
   log_ = std::make_unique<ChangeLog>(
@@ -128,10 +128,9 @@
 
 /** Balancers read the store; agents learn from peers, and read it alone. */
 void Daemon::LoadConfiguration() {
-  const bool from_peers =
-      settings_.role == schema::Role::kAgent &&
-      (role_->control().membership().present_count() > 0 ||
-       role_->control().replica().revision() != Revision());
+  const bool from_peers = settings_.role == schema::Role::kAgent &&
+                          (role_->control().membership().present_count() > 0 ||
+                           role_->control().replica().revision() != Revision());
   if (from_peers) return;
   log_->Load([this](bool loaded) {
     if (loaded) {
@@ -209,8 +208,9 @@
     return;
   }
   if (!waiting.empty()) {
-    LOG(WARNING) << kLogPart << "the stop timeout has passed; left behind: "
-                 << waiting << ".";
+    LOG(WARNING) << kLogPart
+                 << "the stop timeout has passed; left behind: " << waiting
+                 << ".";
   }
   Outbox out;
   role_->Leave(now, out);
@@ -252,8 +252,8 @@
   counters["peer_bytes_sent_total"] = sent_bytes_;
   counters["control_bytes_sent_total"] = control_bytes_;
   counters["platform_calls_total"] = store_.calls();
-  counters["members_present"] = static_cast<int64_t>(
-      role_->control().membership().present_count());
+  counters["members_present"] =
+      static_cast<int64_t>(role_->control().membership().present_count());
   counters["configuration_revision"] =
       role_->control().replica().revision().value();
   return counters;
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -22,8 +22,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const auto settings = sesamesaddle::ReadSettings(
-      std::vector<std::string>(argv, argv + argc));
+  const auto settings =
+      sesamesaddle::ReadSettings(std::vector<std::string>(argv, argv + argc));
   if (!settings) {
     const auto& exit = settings.error();
     fputs(exit.text.c_str(), exit.code == 0 ? stdout : stderr);
--- a/packages/daemon/src/operator_commands.cc
+++ b/packages/daemon/src/operator_commands.cc
@@ -54,7 +54,8 @@
 
 std::string Join(const std::vector<std::string>& parts) {
   std::string text;
-  for (const std::string& part : parts) text += (text.empty() ? "" : ",") + part;
+  for (const std::string& part : parts)
+    text += (text.empty() ? "" : ",") + part;
   return text.empty() ? "-" : text;
 }
 
@@ -228,11 +229,11 @@
     }
     const ServiceEntry* entry = control.services().Find(ServiceId(service.id));
     const size_t targets = entry == nullptr ? 0 : entry->agents.size();
-    table.rows.push_back(MakeRow(
-        {name, Endpoint::Unpack(service.address).ToString(),
-         Name(service.priority), std::to_string(service.deadline_ms),
-         std::to_string(service.drain_grace_ms), std::to_string(targets),
-         Join(rules)}));
+    table.rows.push_back(
+        MakeRow({name, Endpoint::Unpack(service.address).ToString(),
+                 Name(service.priority), std::to_string(service.deadline_ms),
+                 std::to_string(service.drain_grace_ms),
+                 std::to_string(targets), Join(rules)}));
   }
   return table;
 }
@@ -295,7 +296,8 @@
 schema::Table OperatorCommands::ChangesTable() const {
   schema::Table table;
   table.columns = {"revision", "change", "author", "time_ms", "text"};
-  for (const schema::ChangeRecord& record : role_.control().replica().recent()) {
+  for (const schema::ChangeRecord& record :
+       role_.control().replica().recent()) {
     table.rows.push_back(
         MakeRow({std::to_string(record.revision), record.change_id,
                  record.author, std::to_string(record.time_ms), record.text}));
--- a/packages/daemon/src/seed_keeper.cc
+++ b/packages/daemon/src/seed_keeper.cc
@@ -68,8 +68,8 @@
   }
   // From half to one and a half, so that processes started together drift
   // apart.
-  const auto jitter = static_cast<int64_t>(
-      random_.Below(static_cast<uint64_t>(delay.count())));
+  const auto jitter =
+      static_cast<int64_t>(random_.Below(static_cast<uint64_t>(delay.count())));
   scheduler_.After(delay / 2 + Duration(jitter), [this] { List(); });
 }
 
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -68,8 +68,8 @@
     }
     const auto endpoint = Endpoint::Parse(text);
     if (!endpoint) {
-      Fault(flag, std::string(Describe(endpoint.error())) + ", not \"" + text +
-                      "\"");
+      Fault(flag,
+            std::string(Describe(endpoint.error())) + ", not \"" + text + "\"");
       return 0;
     }
     return endpoint->Pack();
@@ -106,14 +106,15 @@
 class SettingsReader {
  public:
   SettingsReader() : app_("A layer-4 load balancer.", "sesamesaddled") {
-    app_.set_version_flag("--version", std::string("sesamesaddled ") + kVersion);
+    app_.set_version_flag("--version",
+                          std::string("sesamesaddled ") + kVersion);
     app_.require_subcommand(1);
     app_.footer(
         "Every flag can be given as an environment variable: --admin-listen as "
         "SESAMESADDLE_ADMIN_LISTEN. The token for commands comes from "
         "SESAMESADDLE_ADMIN_TOKEN or --admin-token-file.");
-    balancer_ = app_.add_subcommand(
-        "balancer", "Take callers' datagrams from the fabric.");
+    balancer_ = app_.add_subcommand("balancer",
+                                    "Take callers' datagrams from the fabric.");
     agent_ = app_.add_subcommand("agent", "Serve flows beside a target.");
     AddCommon(balancer_);
     AddCommon(agent_);
@@ -209,27 +210,26 @@
   }
 
   void CheckCommon(Checker& check, schema::DaemonSettings& settings) {
-    settings.role = balancer_->parsed() ? schema::Role::kBalancer
-                                        : schema::Role::kAgent;
+    settings.role =
+        balancer_->parsed() ? schema::Role::kBalancer : schema::Role::kAgent;
     settings.name = raw_.name;
     settings.zone = raw_.zone;
     settings.log_level = raw_.log_level;
     settings.stop_timeout_ms = raw_.stop_timeout_ms;
     check.Name("name", raw_.name, "the instance's name");
     check.Name("zone", raw_.zone, "the availability zone");
-    settings.listen =
-        check.Address("listen", raw_.listen, "ADDRESS:PORT for other processes");
-    settings.admin_listen = check.Address(
-        "admin-listen", raw_.admin_listen, "ADDRESS:PORT of the API");
+    settings.listen = check.Address("listen", raw_.listen,
+                                    "ADDRESS:PORT for other processes");
+    settings.admin_listen = check.Address("admin-listen", raw_.admin_listen,
+                                          "ADDRESS:PORT of the API");
     settings.platform = check.Address("platform", raw_.platform,
                                       "ADDRESS:PORT of the platform's service");
     for (const std::string& peer : raw_.peers) {
       settings.peers.push_back(check.Address("peer", peer, "ADDRESS:PORT"));
     }
     if (!IsLogLevel(raw_.log_level)) {
-      check.Fault("log-level",
-                  "\"" + raw_.log_level +
-                      "\" is not debug, info, warning or error");
+      check.Fault("log-level", "\"" + raw_.log_level +
+                                   "\" is not debug, info, warning or error");
     }
     check.Range("stop-timeout-ms", raw_.stop_timeout_ms, 0, kMaxStopTimeoutMs);
     ReadToken(check, settings);
@@ -252,8 +252,8 @@
     }
     std::ifstream file(raw_.admin_token_file);
     if (!(file >> settings.admin_token)) {
-      check.Fault("admin-token-file",
-                  "no token can be read from \"" + raw_.admin_token_file + "\"");
+      check.Fault("admin-token-file", "no token can be read from \"" +
+                                          raw_.admin_token_file + "\"");
     }
   }
 
@@ -265,8 +265,8 @@
         check.Address("fabric", raw_.fabric, "ADDRESS:PORT of the fabric");
     if (settings.fabric_listen == settings.listen) {
       check.Fault("fabric-listen", "conflicts with --listen (" +
-                                       VariableOf("listen") +
-                                       "): both name " + raw_.listen);
+                                       VariableOf("listen") + "): both name " +
+                                       raw_.listen);
     }
     check.Range("max-datagrams-per-second", raw_.max_datagrams_per_second, 0,
                 kMaxRate);
--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -84,7 +84,8 @@
   size_t present_count() const { return present_.size(); }
   /** @return a random present member besides this process, or null. */
   const Member* RandomPresent() const;
-  /** Whether a digest equal to another member's was seen, or nobody is known. */
+  /** Whether a digest equal to another member's was seen, or nobody is known.
+   */
   bool synchronized() const { return synchronized_; }
 
   /** @return changes since the last call, oldest first. */
--- a/packages/membership/src/membership.cc
+++ b/packages/membership/src/membership.cc
@@ -56,8 +56,8 @@
 
 void Membership::AddSeeds(const std::vector<Endpoint>& seeds) {
   for (const Endpoint& seed : seeds) {
-    const bool known = std::find(seeds_.begin(), seeds_.end(), seed) !=
-                       seeds_.end();
+    const bool known =
+        std::find(seeds_.begin(), seeds_.end(), seed) != seeds_.end();
     if (!known && seed.Pack() != self_.endpoint) seeds_.push_back(seed);
   }
 }
@@ -305,8 +305,9 @@
   if (sender != nullptr && sender->record.state != MemberState::kAlive) {
     ack.news.push_back(ToNews(sender->record));
   }
-  out.push_back({gossip.reply_to == 0 ? from : Endpoint::Unpack(gossip.reply_to),
-                 std::move(ack)});
+  out.push_back(
+      {gossip.reply_to == 0 ? from : Endpoint::Unpack(gossip.reply_to),
+       std::move(ack)});
 }
 
 void Membership::RelayPing(const Endpoint& from, const schema::Gossip& gossip,
--- a/packages/net/include/net/http_client.h
+++ b/packages/net/include/net/http_client.h
@@ -13,10 +13,10 @@
 
 /** How far a call got that has no whole answer. */
 enum class HttpFailure {
-  kNotSent,     // No byte of the request left; the server did not take it.
-  kNoAnswer,    // Sent, but no answer came; the server may have taken it.
-  kCutAnswer,   // The answer ended before its stated length.
-  kTooLarge,    // The answer is larger than the client takes.
+  kNotSent,    // No byte of the request left; the server did not take it.
+  kNoAnswer,   // Sent, but no answer came; the server may have taken it.
+  kCutAnswer,  // The answer ended before its stated length.
+  kTooLarge,   // The answer is larger than the client takes.
 };
 
 /** What a call ended with. */
--- a/packages/net/include/net/net_error.h
+++ b/packages/net/include/net/net_error.h
@@ -5,7 +5,8 @@
 
 namespace sesamesaddle {
 
-/** A socket that could not be opened: what was tried and the system's reason. */
+/** A socket that could not be opened: what was tried and the system's reason.
+ */
 struct NetError {
   std::string message;
 };
--- a/packages/net/include/net/udp_socket.h
+++ b/packages/net/include/net/udp_socket.h
@@ -18,8 +18,8 @@
 /** A bound UDP socket on the event loop. */
 class UdpSocket {
  public:
-  using Receiver = std::function<void(const Endpoint& from,
-                                      std::string_view payload)>;
+  using Receiver =
+      std::function<void(const Endpoint& from, std::string_view payload)>;
 
   /**
    * Binds to `local` and calls `receiver` for each datagram.
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -45,7 +45,8 @@
       self->Fail(HttpFailure::kNotSent);
       return nullptr;
     }
-    self->buffer_ = h2o_iovec_init(self->request_.data(), self->request_.size());
+    self->buffer_ =
+        h2o_iovec_init(self->request_.data(), self->request_.size());
     *buffers = &self->buffer_;
     *count = 1;
     *method_is_head = 0;
@@ -100,7 +101,8 @@
     }
     const auto& head = result_.response.headers;
     // Without either header the end cannot be told from a cut.
-    framed_ = head.count("content-length") + head.count("transfer-encoding") > 0;
+    framed_ =
+        head.count("content-length") + head.count("transfer-encoding") > 0;
     if (const auto type = head.find("content-type"); type != head.end()) {
       result_.response.content_type = type->second;
     }
@@ -157,7 +159,7 @@
 std::unique_ptr<HttpCall> HttpClient::Call(const HttpRequest& request,
                                            ConnectionUse use, Done done) {
   auto call = std::make_unique<TargetCall>(FormatRequest(request, host_),
-                                                   std::move(done));
+                                           std::move(done));
   if (use == ConnectionUse::kPooled) {
     h2o_http1client_connect_with_pool(call->slot(), call.get(), &context_,
                                       &pool_, TargetCall::OnConnect);
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -55,10 +55,9 @@
   request->res.status = response.status;
   request->res.reason = "-";
   request->res.content_length = response.body.size();
-  h2o_add_header_by_str(&request->pool, &request->res.headers,
-                        H2O_STRLIT("content-type"), 1, nullptr,
-                        response.content_type.data(),
-                        response.content_type.size());
+  h2o_add_header_by_str(
+      &request->pool, &request->res.headers, H2O_STRLIT("content-type"), 1,
+      nullptr, response.content_type.data(), response.content_type.size());
   for (const auto& [name, value] : response.headers) {
     const h2o_iovec_t copy =
         h2o_strdup(&request->pool, value.data(), value.size());
@@ -76,8 +75,8 @@
   h2o_req_t* request = request_;
   request_ = nullptr;
   HttpResponse copy = response;
-  const h2o_iovec_t type = h2o_strdup(
-      &request->pool, copy.content_type.data(), copy.content_type.size());
+  const h2o_iovec_t type = h2o_strdup(&request->pool, copy.content_type.data(),
+                                      copy.content_type.size());
   copy.content_type.clear();
   FillHead(request, copy);
   request->res.headers.entries[0].value = type;
@@ -97,9 +96,10 @@
   if (request_ == nullptr) return;
   h2o_socket_t* socket = request_->conn->callbacks->get_socket(request_->conn);
   const int fd = h2o_socket_get_fd(socket);
-  std::string head = "HTTP/1.1 " + std::to_string(response.status) +
-                     " -\r\ncontent-length: " +
-                     std::to_string(response.body.size()) + "\r\n\r\n";
+  std::string head =
+      "HTTP/1.1 " + std::to_string(response.status) +
+      " -\r\ncontent-length: " + std::to_string(response.body.size()) +
+      "\r\n\r\n";
   head.append(response.body, 0, bytes);
   [[maybe_unused]] const ssize_t sent =
       send(fd, head.data(), head.size(), MSG_NOSIGNAL);
--- a/packages/platform/src/http_store.cc
+++ b/packages/platform/src/http_store.cc
@@ -119,10 +119,11 @@
 }
 
 void HttpStore::GrantLease(Duration time_to_live, Done<LeaseId> done) {
-  Send(MakeRequest("POST", "/v1/leases", "ttl_ms=" + Milliseconds(time_to_live)),
-       timeout_, [done = std::move(done)](auto response) {
-         done(ReadNumber<LeaseId>(response));
-       });
+  Send(
+      MakeRequest("POST", "/v1/leases", "ttl_ms=" + Milliseconds(time_to_live)),
+      timeout_, [done = std::move(done)](auto response) {
+        done(ReadNumber<LeaseId>(response));
+      });
 }
 
 void HttpStore::RenewLease(LeaseId lease, Done<LeaseId> done) {
--- a/packages/routing/include/routing/flow_directory.h
+++ b/packages/routing/include/routing/flow_directory.h
@@ -33,8 +33,7 @@
   void Remove(const Flow& flow, MemberId owner);
   std::optional<Ownership> Find(const Flow& flow) const;
   /** Drops the entries for which `drop` says so. */
-  void RemoveIf(
-      const std::function<bool(const Flow&, const Ownership&)>& drop);
+  void RemoveIf(const std::function<bool(const Flow&, const Ownership&)>& drop);
   size_t size() const { return entries_.size(); }
 
  private:
--- a/packages/schema/gen/messages_types.cpp
+++ b/packages/schema/gen/messages_types.cpp
@@ -2452,6 +2452,10 @@
 void RunResult::__set_content_type(const std::string& val) {
   this->content_type = val;
 }
+
+void RunResult::__set_entity_tag(const std::string& val) {
+  this->entity_tag = val;
+}
 std::ostream& operator<<(std::ostream& out, const RunResult& obj)
 {
   obj.printTo(out);
@@ -2479,6 +2483,7 @@
   bool isset_offset = false;
   bool isset_part = false;
   bool isset_content_type = false;
+  bool isset_entity_tag = false;
 
   while (true)
   {
@@ -2554,6 +2559,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->entity_tag);
+          isset_entity_tag = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2579,6 +2592,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_content_type)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_entity_tag)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2619,6 +2634,10 @@
   xfer += oprot->writeString(this->content_type);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("entity_tag", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->entity_tag);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2634,6 +2653,7 @@
   swap(a.offset, b.offset);
   swap(a.part, b.part);
   swap(a.content_type, b.content_type);
+  swap(a.entity_tag, b.entity_tag);
 }
 
 RunResult::RunResult(const RunResult& other65) {
@@ -2645,6 +2665,7 @@
   offset = other65.offset;
   part = other65.part;
   content_type = other65.content_type;
+  entity_tag = other65.entity_tag;
 }
 RunResult::RunResult(RunResult&& other66) noexcept {
   call = other66.call;
@@ -2655,6 +2676,7 @@
   offset = other66.offset;
   part = std::move(other66.part);
   content_type = std::move(other66.content_type);
+  entity_tag = std::move(other66.entity_tag);
 }
 RunResult& RunResult::operator=(const RunResult& other67) {
   call = other67.call;
@@ -2665,6 +2687,7 @@
   offset = other67.offset;
   part = other67.part;
   content_type = other67.content_type;
+  entity_tag = other67.entity_tag;
   return *this;
 }
 RunResult& RunResult::operator=(RunResult&& other68) noexcept {
@@ -2676,6 +2699,7 @@
   offset = other68.offset;
   part = std::move(other68.part);
   content_type = std::move(other68.content_type);
+  entity_tag = std::move(other68.entity_tag);
   return *this;
 }
 void RunResult::printTo(std::ostream& out) const {
@@ -2689,6 +2713,7 @@
   out << ", " << "offset=" << to_string(offset);
   out << ", " << "part=" << to_string(part);
   out << ", " << "content_type=" << to_string(content_type);
+  out << ", " << "entity_tag=" << to_string(entity_tag);
   out << ")";
 }
 
--- a/packages/schema/gen/messages_types.h
+++ b/packages/schema/gen/messages_types.h
@@ -873,7 +873,8 @@
               total_bytes(0),
               offset(0),
               part(),
-              content_type() {
+              content_type(),
+              entity_tag() {
   }
 
   virtual ~RunResult() noexcept;
@@ -889,6 +890,7 @@
   int32_t offset;
   std::string part;
   std::string content_type;
+  std::string entity_tag;
 
   void __set_call(const int64_t val);
 
@@ -906,6 +908,8 @@
 
   void __set_content_type(const std::string& val);
 
+  void __set_entity_tag(const std::string& val);
+
   bool operator == (const RunResult & rhs) const
   {
     if (!(call == rhs.call))
@@ -924,6 +928,8 @@
       return false;
     if (!(content_type == rhs.content_type))
       return false;
+    if (!(entity_tag == rhs.entity_tag))
+      return false;
     return true;
   }
   bool operator != (const RunResult &rhs) const {
--- a/packages/schema/messages.thrift
+++ b/packages/schema/messages.thrift
@@ -141,6 +141,7 @@
   6: required i32 offset
   7: required binary part
   8: required string content_type
+  9: required string entity_tag
 }
 
 // Asks for the bytes of an answer from `offset` on.
--- a/packages/serving/include/serving/target_health.h
+++ b/packages/serving/include/serving/target_health.h
@@ -17,7 +17,8 @@
   static constexpr Duration kLongestEjection = std::chrono::seconds(60);
 
   void OnSuccess(TimePoint now);
-  /** @param may_eject  whether enough other agents of the service accept work */
+  /** @param may_eject  whether enough other agents of the service accept work
+   */
   void OnFailure(TimePoint now, bool may_eject);
   bool Ejected(TimePoint now) const { return now < ejected_until_; }
 
--- a/standins/fabric/main.cc
+++ b/standins/fabric/main.cc
@@ -177,8 +177,9 @@
   app.add_option("--listen", listen, "ADDRESS:PORT (UDP) for the balancers");
   app.add_option("--control", control, "ADDRESS:PORT (HTTP) for failures");
   app.add_option("--service", services, "ADDRESS:PORT (UDP) of a service");
-  app.add_option("--balancer", balancers,
-                 "ADDRESS:PORT,ADDRESS:PORT: fabric port and API of a balancer");
+  app.add_option(
+      "--balancer", balancers,
+      "ADDRESS:PORT,ADDRESS:PORT: fabric port and API of a balancer");
   app.add_option("--seed", seed, "Seed of the choice of balancers");
   CLI11_PARSE(app, argc, argv);
   signal(SIGPIPE, SIG_IGN);
--- a/tools/load/caller.cc
+++ b/tools/load/caller.cc
@@ -59,7 +59,8 @@
   coap_address_init(&address);
   address.addr.sin = options_.address.ToSockaddr();
   address.size = sizeof(address.addr.sin);
-  session_ = coap_new_client_session(context, nullptr, &address, COAP_PROTO_UDP);
+  session_ =
+      coap_new_client_session(context, nullptr, &address, COAP_PROTO_UDP);
   coap_session_set_app_data(session_, this);
 }
 
@@ -76,9 +77,9 @@
     coap_session_new_token(session_, &length, bytes);
     token.assign(reinterpret_cast<const char*>(bytes), length);
   }
-  coap_pdu_t* pdu = coap_pdu_init(COAP_MESSAGE_CON, code,
-                                  coap_new_message_id(session_),
-                                  coap_session_max_pdu_size(session_));
+  coap_pdu_t* pdu =
+      coap_pdu_init(COAP_MESSAGE_CON, code, coap_new_message_id(session_),
+                    coap_session_max_pdu_size(session_));
   coap_add_token(pdu, token.size(),
                  reinterpret_cast<const uint8_t*>(token.data()));
   if (observe) coap_add_option(pdu, COAP_OPTION_OBSERVE, 0, nullptr);
@@ -129,6 +130,7 @@
 void Caller::StartFeed(TimePoint now) {
   feed_asked_ = now;
   if (last_news_ == TimePoint{}) last_news_ = now;
+  feed_sequence_ = 0;
   feed_token_ = Send(feed_token_, COAP_REQUEST_CODE_GET, "feed", "", true, "");
 }
 
@@ -175,6 +177,7 @@
     feed_asked_ = now - kFeedSilence + kFeedRetry;
     return;
   }
+  if (!IsNewer(now, OptionOf(received, COAP_OPTION_OBSERVE))) return;
   const std::string body = TextOf(received);
   ++report_.notifications;
   last_news_ = now;
@@ -185,13 +188,31 @@
   feed_version_ = std::max(feed_version_, number);
 }
 
+/** Whether a notification is not older than the last; RFC 7641, 3.4. */
+bool Caller::IsNewer(TimePoint now, const std::string& observe) {
+  constexpr uint32_t kHalf = 1U << 23;
+  constexpr Duration kStale = std::chrono::seconds(128);
+  uint32_t sequence = 0;
+  for (const char byte : observe) {
+    sequence = (sequence << 8) | static_cast<uint8_t>(byte);
+  }
+  const uint32_t last = feed_sequence_;
+  const bool newer = (last < sequence && sequence - last < kHalf) ||
+                     (last > sequence && last - sequence > kHalf) ||
+                     now - last_news_ > kStale;
+  if (newer) feed_sequence_ = sequence;
+  return newer;
+}
+
 void Caller::EndRequest(TimePoint now, const coap_pdu_t* received) {
   busy_ = false;
   const auto code = coap_pdu_get_code(received);
   const std::string body = TextOf(received);
   const bool write = request_.kind == RequestKind::kWrite;
-  const bool not_run = body.find("\"outcome\":\"not_run\"") != std::string::npos;
-  const bool unknown = body.find("\"outcome\":\"unknown\"") != std::string::npos;
+  const bool not_run =
+      body.find("\"outcome\":\"not_run\"") != std::string::npos;
+  const bool unknown =
+      body.find("\"outcome\":\"unknown\"") != std::string::npos;
   if (not_run) {
     ++report_.refused;
     if (write) report_.orders[request_.id] = OrderEnd::kNotRun;
--- a/tools/load/caller.h
+++ b/tools/load/caller.h
@@ -24,7 +24,8 @@
   Duration request_timeout = std::chrono::seconds(40);
 };
 
-/** One caller: a libcoap session with one request at a time and maybe a feed. */
+/** One caller: a libcoap session with one request at a time and maybe a feed.
+ */
 class Caller {
  public:
   Caller(coap_context_t* context, CallerOptions options, Report& report);
@@ -60,6 +61,7 @@
                    bool observe, const std::string& echo);
   void SendRequest(const std::string& echo);
   void OnFeedResponse(TimePoint now, const coap_pdu_t* received);
+  bool IsNewer(TimePoint now, const std::string& observe);
   void EndRequest(TimePoint now, const coap_pdu_t* received);
   bool IsWholeAnswer(const std::string& body) const;
   void MarkBroken(const std::string& reason);
@@ -74,6 +76,7 @@
   std::string feed_token_;
   TimePoint feed_asked_{};
   TimePoint last_news_{};
+  uint32_t feed_sequence_ = 0;
   int64_t feed_version_ = 0;
 };
 
--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -27,11 +27,11 @@
   std::string service;
   Endpoint address;
   int callers = 10;
-  double rate = 10;         // Requests a second.
-  double feeds = 0;         // Share of callers that hold a feed.
-  double writes = 0.2;      // Share of non-idempotent requests.
-  double large = 0.05;      // Share of reads with a large answer.
-  double hot = 0;           // Share of requests that go to a tenth of callers.
+  double rate = 10;     // Requests a second.
+  double feeds = 0;     // Share of callers that hold a feed.
+  double writes = 0.2;  // Share of non-idempotent requests.
+  double large = 0.05;  // Share of reads with a large answer.
+  double hot = 0;       // Share of requests that go to a tenth of callers.
   int large_bytes = 5000;
 };
 
@@ -64,14 +64,22 @@
     const size_t equals = parts[i].find('=');
     const std::string key = parts[i].substr(0, equals);
     const double value = std::stod(parts[i].substr(equals + 1));
-    if (key == "callers") group.callers = static_cast<int>(value);
-    else if (key == "rate") group.rate = value;
-    else if (key == "feeds") group.feeds = value;
-    else if (key == "writes") group.writes = value;
-    else if (key == "large") group.large = value;
-    else if (key == "hot") group.hot = value;
-    else if (key == "large-bytes") group.large_bytes = static_cast<int>(value);
-    else throw CLI::ValidationError("--group", "unknown key " + key);
+    if (key == "callers")
+      group.callers = static_cast<int>(value);
+    else if (key == "rate")
+      group.rate = value;
+    else if (key == "feeds")
+      group.feeds = value;
+    else if (key == "writes")
+      group.writes = value;
+    else if (key == "large")
+      group.large = value;
+    else if (key == "hot")
+      group.hot = value;
+    else if (key == "large-bytes")
+      group.large_bytes = static_cast<int>(value);
+    else
+      throw CLI::ValidationError("--group", "unknown key " + key);
   }
   return group;
 }
@@ -254,11 +262,11 @@
   request.method = "GET";
   request.path = path;
   std::string body;
-  const auto call = client.Call(request, ConnectionUse::kFresh,
-                                [&](HttpResult result) {
-                                  body = result.response.body;
-                                  loop.Stop();
-                                });
+  const auto call =
+      client.Call(request, ConnectionUse::kFresh, [&](HttpResult result) {
+        body = result.response.body;
+        loop.Stop();
+      });
   const auto timer =
       loop.After(std::chrono::seconds(3), [&loop] { loop.Stop(); });
   loop.Run();
--- a/tools/load/report.cc
+++ b/tools/load/report.cc
@@ -96,9 +96,9 @@
        << ",\"p50_ms\":" << Number(Percentile(latencies_ms, 50))
        << ",\"p99_ms\":" << Number(Percentile(latencies_ms, 99));
   for (const auto& [service, latencies] : latencies_by_service) {
-    json << ",\"" << service << "_p50_ms\":" << Number(Percentile(latencies, 50))
-         << ",\"" << service
-         << "_p99_ms\":" << Number(Percentile(latencies, 99));
+    json << ",\"" << service
+         << "_p50_ms\":" << Number(Percentile(latencies, 50)) << ",\""
+         << service << "_p99_ms\":" << Number(Percentile(latencies, 99));
   }
   json << ",\"targets\":[";
   separator = "";
--- a/tools/load/report.h
+++ b/tools/load/report.h
@@ -49,9 +49,9 @@
   std::vector<TargetStats> targets;
   std::map<int64_t, int64_t> runs;
   int64_t duplicate_runs = 0;
-  int64_t lost_orders = 0;      // Answered as done, but never run.
-  int64_t false_refusals = 0;   // Refused as not run, but run.
-  double imbalance = 0;         // Max over mean of work per slot.
+  int64_t lost_orders = 0;     // Answered as done, but never run.
+  int64_t false_refusals = 0;  // Refused as not run, but run.
+  double imbalance = 0;        // Max over mean of work per slot.
 
   /** Compares what callers were told with what targets recorded. */
   void Settle();
