--- a/packages/agent/tests/agent_test.cc
+++ b/packages/agent/tests/agent_test.cc
@@ -278,6 +278,7 @@
   answer.shed = true;
   CHECK(outcome(20, answer).payload ==
         R"({"outcome":"not_run","reason":"target_shed"})");
+  answer.shed = false;
   answer.kind = TargetAnswer::Kind::kLost;
   CHECK(outcome(30, answer).payload ==
         R"({"outcome":"unknown","reason":"answer_lost"})");
--- a/packages/coap/tests/coap_test.cc
+++ b/packages/coap/tests/coap_test.cc
@@ -99,8 +99,8 @@
     std::string bytes = Encode(MakeRequest());
     bytes[position % bytes.size()] = value;
     const auto whole = Parse(bytes);
-    const auto cut =
-        Parse(std::string_view(bytes).substr(0, position % bytes.size()));
+    const std::string_view view = bytes;
+    const auto cut = Parse(view.substr(0, position % view.size()));
     RC_ASSERT(!whole || ParseHeader(bytes));
     RC_ASSERT(!cut || cut->payload.size() < bytes.size());
   });
