Membership: costs measured against fleet size, three faults mended

Cause: a join beyond the limit of whole records a message was told as short news, which the receiver cannot use for a member it does not know. Joins now have a queue of their own, and a comparison of tables that taught something is repeated soon. Cause: members that joined last stood in nobody's probe round; ruled out: suspicion (none was raised) and incarnations (all 0). They are now put at a random place of the round.

--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -21,11 +21,12 @@
   Duration direct_timeout = std::chrono::milliseconds(300);
   size_t indirect_probes = 3;
   /** Suspicion lasts this many probe periods per decade of members. */
-  int suspicion_factor = 2;
-  /** Table hashes are compared with a random member this often. */
+  int suspicion_factor = 3;
+  /** Table hashes are compared with a random member this often... */
   Duration digest_period = std::chrono::seconds(30);
-  /** As above while the table is still being filled. */
-  Duration join_digest_period = std::chrono::milliseconds(100);
+  /** ...but so soon after a comparison that taught something; then the time
+   * doubles with each that taught nothing. */
+  Duration first_digest_period = std::chrono::milliseconds(100);
   /** A dead member is probed this often, to find the end of a partition. */
   Duration dead_probe_period = std::chrono::seconds(5);
   /** Dead members are forgotten after this; longer than a partition lasts. */
@@ -33,10 +34,10 @@
   Duration left_retention = std::chrono::minutes(10);
   /** A gap between ticks that shows this process was paused. */
   Duration pause_threshold = std::chrono::seconds(2);
-  size_t max_news = 60;
-  size_t max_records = 8;
+  size_t max_news = 40;
+  size_t max_records = 10;
   /** Datagrams of records that answer one digest. */
-  size_t max_record_datagrams = 8;
+  size_t max_record_datagrams = 4;
 };
 
 /** A gossip message to send. */
@@ -84,9 +85,8 @@
   size_t present_count() const { return present_.size(); }
   /** @return a random present member besides this process, or null. */
   const Member* RandomPresent() const;
-  /** Whether a digest equal to another member's was seen, or nobody is known.
-   */
-  bool synchronized() const { return synchronized_; }
+  /** Whether several comparisons in a row have taught nothing new. */
+  bool synchronized() const { return digest_wait_ >= kSynchronizedWait; }
 
   /** @return changes since the last call, oldest first. */
   std::vector<MemberChange> TakeChanges();
@@ -94,6 +94,8 @@
   bool TakeResumed();
 
  private:
+  static constexpr Duration kSynchronizedWait = std::chrono::milliseconds(800);
+
   struct Probe {
     MemberId target;
     int64_t sequence;
@@ -147,6 +149,8 @@
   std::vector<int64_t> buckets_;
   std::vector<std::vector<MemberId>> bucket_members_;
   std::vector<Endpoint> seeds_;
+  // New members are told as whole records, other changes in short.
+  NewsQueue joins_;
   NewsQueue news_;
   std::vector<MemberChange> changes_;
 
@@ -159,7 +163,7 @@
   TimePoint next_digest_{};
   TimePoint next_dead_probe_{};
   TimePoint next_forget_{};
-  bool synchronized_ = false;
+  Duration digest_wait_{};
   bool left_ = false;
   bool resumed_ = false;
 };
--- a/packages/membership/src/membership.cc
+++ b/packages/membership/src/membership.cc
@@ -84,11 +84,9 @@
       AnswerDigest(from, gossip, revision, out);
       break;
     case GossipKind::kRecords:
-      // The last datagram of an answer, and it held nothing new.
-      if (gossip.records.size() < kRecordsPerDatagram &&
-          members_.size() == known) {
-        synchronized_ = true;
-      }
+      if (members_.size() == known) break;
+      digest_wait_ = options_.first_digest_period;
+      next_digest_ = std::min(next_digest_, now + digest_wait_);
       break;
   }
 }
@@ -227,7 +225,12 @@
   if (record.state == MemberState::kSuspect) {
     suspects_.emplace(member.id(), now + SuspicionTimeout());
   }
-  news_.Add(member.id());
+  joins_.Add(member.id());
+  // At a random place of the round under way: if new members waited for the
+  // next one, nobody would probe a member that joined last for a whole round.
+  const size_t place = random_.Below(probe_order_.size() + 1);
+  probe_order_.push_back(member.id());
+  std::swap(probe_order_[place], probe_order_.back());
   NotePresence(member, false);
 }
 
@@ -284,16 +287,16 @@
   gossip.revision = revision.value();
   const double decades = std::log10(static_cast<double>(members_.size() + 10));
   const int max_tells = static_cast<int>(std::ceil(8 * decades));
+  // Whole records are large, and digests repair what was missed.
+  const int record_tells = static_cast<int>(std::ceil(2 * decades));
+  for (const MemberId id : joins_.Take(options_.max_records, record_tells)) {
+    const Member* member = Find(id);
+    if (member != nullptr) gossip.records.push_back(member->record);
+  }
   for (const MemberId id : news_.Take(options_.max_news, max_tells)) {
     const Member* member = Find(id);
     if (member == nullptr) continue;  // Ourselves: the sender field tells it.
-    const bool is_new = member->record.incarnation == 0 &&
-                        member->record.state == MemberState::kAlive;
-    if (is_new && gossip.records.size() < options_.max_records) {
-      gossip.records.push_back(member->record);
-    } else {
-      gossip.news.push_back(ToNews(member->record));
-    }
+    gossip.news.push_back(ToNews(member->record));
   }
   return gossip;
 }
@@ -415,6 +418,8 @@
           member->second.record.state == MemberState::kAlive) {
         Transition(now, member->second, MemberState::kSuspect,
                    member->second.record.incarnation);
+        // The next probe tells it of the suspicion, so that it can refute it.
+        ProbeSoon(probe.target);
       }
       it = probes_.erase(it);
       continue;
@@ -465,6 +470,7 @@
     auto& bucket = bucket_members_[BucketOf(member.record.id)];
     bucket.erase(std::find(bucket.begin(), bucket.end(), member.id()));
     ToggleBucket(member.record);
+    joins_.Remove(member.id());
     news_.Remove(member.id());
     const auto owner = by_endpoint_.find(member.record.endpoint);
     if (owner != by_endpoint_.end() && owner->second == member.id()) {
@@ -476,8 +482,9 @@
 
 void Membership::SendDigest(TimePoint now, Revision revision,
                             std::vector<GossipSend>& out) {
-  next_digest_ = now + (synchronized_ ? options_.digest_period
-                                      : options_.join_digest_period);
+  digest_wait_ = std::clamp(digest_wait_ * 2, options_.first_digest_period,
+                            options_.digest_period);
+  next_digest_ = now + digest_wait_;
   Endpoint to;
   const Member* member = RandomPresent();
   if (member != nullptr) {
