--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -14,6 +14,7 @@
 constexpr char kLogPart[] = "daemon: ";
 constexpr Duration kTick = std::chrono::milliseconds(10);
 constexpr Duration kStoreTimeout = std::chrono::seconds(2);
+constexpr Duration kAgentLoadDelay = std::chrono::seconds(5);
 constexpr Duration kLoadRetry = std::chrono::seconds(2);
 constexpr Duration kWatchCheckPeriod = std::chrono::seconds(1);
 constexpr Duration kStopLogPeriod = std::chrono::seconds(1);
@@ -119,14 +120,19 @@
   }
   role_->control().membership().AddSeeds(peers);
   seeds_->Start();
-  LoadConfiguration();
+  if (settings_.role == schema::Role::kBalancer) {
+    LoadConfiguration();
+  } else {
+    // By then peers have told it, but where there are none yet.
+    scheduler_.After(kAgentLoadDelay, [this] { LoadConfiguration(); });
+  }
   const auto timer =
       loop_.Every(kTick, [this, &stop_requested] { Tick(stop_requested); });
   loop_.Run();
   LOG(INFO) << kLogPart << settings_.name << " has stopped.";
 }
 
-/** Balancers read the store; agents learn from peers, and read it alone. */
+/** Balancers read the store; agents learn from peers, or else read it too. */
 void Daemon::LoadConfiguration() {
   const bool from_peers = settings_.role == schema::Role::kAgent &&
                           (role_->control().membership().present_count() > 0 ||
--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -22,6 +22,8 @@
   size_t indirect_probes = 3;
   /** Suspicion lasts this many probe periods per decade of members. */
   int suspicion_factor = 3;
+  /** One that was not answered is repeated after this. */
+  Duration digest_retry = std::chrono::milliseconds(500);
   /** Table hashes are compared with a random member this often... */
   Duration digest_period = std::chrono::seconds(30);
   /** ...but so soon after a comparison that taught something; then the time
@@ -34,10 +36,28 @@
   Duration left_retention = std::chrono::minutes(10);
   /** A gap between ticks that shows this process was paused. */
   Duration pause_threshold = std::chrono::seconds(2);
+  /** In one message: */
   size_t max_news = 40;
   size_t max_records = 10;
-  /** Datagrams of records that answer one digest. */
-  size_t max_record_datagrams = 4;
+  /** In one second, so that a bad day stays within the control budget: */
+  double news_per_second = 150;
+  double records_per_second = 15;
+  double answer_datagrams_per_second = 6;
+};
+
+/** Spends at most a fixed amount a second, with a second's worth at once. */
+class Allowance {
+ public:
+  explicit Allowance(double per_second)
+      : per_second_(per_second), left_(per_second) {}
+
+  /** @return how many of `wanted` may be spent now; they are spent then. */
+  size_t Take(TimePoint now, size_t wanted);
+
+ private:
+  double per_second_;
+  double left_;
+  TimePoint refilled_{};
 };
 
 /** A gossip message to send. */
@@ -133,6 +153,7 @@
   void ForgetGone(TimePoint now);
   void SendDigest(TimePoint now, Revision revision,
                   std::vector<GossipSend>& out);
+  void OnDigestAnswer(TimePoint now, size_t learned);
   void ProbeDead(TimePoint now, Revision revision,
                  std::vector<GossipSend>& out);
   std::optional<MemberId> NextProbeTarget();
@@ -152,6 +173,9 @@
   // New members are told as whole records, other changes in short.
   NewsQueue joins_;
   NewsQueue news_;
+  Allowance join_allowance_;
+  Allowance news_allowance_;
+  Allowance answer_allowance_;
   std::vector<MemberChange> changes_;
 
   std::vector<MemberId> probe_order_;
@@ -164,6 +188,7 @@
   TimePoint next_dead_probe_{};
   TimePoint next_forget_{};
   Duration digest_wait_{};
+  bool digest_answered_ = true;
   bool left_ = false;
   bool resumed_ = false;
 };
--- a/packages/membership/src/membership.cc
+++ b/packages/membership/src/membership.cc
@@ -43,13 +43,25 @@
 
 }  // namespace
 
+size_t Allowance::Take(TimePoint now, size_t wanted) {
+  const double elapsed = std::chrono::duration<double>(now - refilled_).count();
+  refilled_ = now;
+  left_ = std::min(per_second_, left_ + elapsed * per_second_);
+  const size_t taken = std::min(wanted, static_cast<size_t>(left_));
+  left_ -= static_cast<double>(taken);
+  return taken;
+}
+
 Membership::Membership(const schema::MemberRecord& self,
                        const MembershipOptions& options, RandomSource& random)
     : self_(self),
       options_(options),
       random_(random),
       buckets_(kBuckets, 0),
-      bucket_members_(kBuckets) {
+      bucket_members_(kBuckets),
+      join_allowance_(options.records_per_second),
+      news_allowance_(options.news_per_second),
+      answer_allowance_(options.answer_datagrams_per_second) {
   self_.state = MemberState::kAlive;
   ToggleBucket(self_);
 }
@@ -84,9 +96,7 @@
       AnswerDigest(from, gossip, revision, out);
       break;
     case GossipKind::kRecords:
-      if (members_.size() == known) break;
-      digest_wait_ = options_.first_digest_period;
-      next_digest_ = std::min(next_digest_, now + digest_wait_);
+      OnDigestAnswer(now, members_.size() - known);
       break;
   }
 }
@@ -288,12 +298,16 @@
   const double decades = std::log10(static_cast<double>(members_.size() + 10));
   const int max_tells = static_cast<int>(std::ceil(8 * decades));
   // Whole records are large, and digests repair what was missed.
-  const int record_tells = static_cast<int>(std::ceil(2 * decades));
-  for (const MemberId id : joins_.Take(options_.max_records, record_tells)) {
+  const int record_tells = static_cast<int>(std::ceil(3 * decades));
+  const size_t records = join_allowance_.Take(
+      last_tick_, std::min(joins_.size(), options_.max_records));
+  for (const MemberId id : joins_.Take(records, record_tells)) {
     const Member* member = Find(id);
     if (member != nullptr) gossip.records.push_back(member->record);
   }
-  for (const MemberId id : news_.Take(options_.max_news, max_tells)) {
+  const size_t news = news_allowance_.Take(
+      last_tick_, std::min(news_.size(), options_.max_news));
+  for (const MemberId id : news_.Take(news, max_tells)) {
     const Member* member = Find(id);
     if (member == nullptr) continue;  // Ourselves: the sender field tells it.
     gossip.news.push_back(ToNews(member->record));
@@ -332,24 +346,27 @@
 void Membership::AnswerDigest(const Endpoint& from,
                               const schema::Gossip& gossip, Revision revision,
                               std::vector<GossipSend>& out) {
-  std::vector<schema::MemberRecord> records;
-  const size_t limit = kRecordsPerDatagram * options_.max_record_datagrams;
+  std::vector<MemberId> differing;
   const size_t start = random_.Below(kBuckets);
-  for (size_t i = 0; i < kBuckets && records.size() < limit; ++i) {
+  for (size_t i = 0; i < kBuckets; ++i) {
     const size_t bucket = (start + i) % kBuckets;
     if (bucket < gossip.buckets.size() &&
         gossip.buckets[bucket] == buckets_[bucket]) {
       continue;
     }
-    for (const MemberId id : bucket_members_[bucket]) {
-      records.push_back(members_.at(id).record);
-    }
+    const auto& members = bucket_members_[bucket];
+    differing.insert(differing.end(), members.begin(), members.end());
   }
-  for (size_t i = 0; i == 0 || i < records.size(); i += kRecordsPerDatagram) {
+  const size_t wanted = std::max<size_t>(
+      1, (differing.size() + kRecordsPerDatagram - 1) / kRecordsPerDatagram);
+  const size_t allowed = answer_allowance_.Take(last_tick_, wanted);
+  for (size_t i = 0; i < allowed; ++i) {
     schema::Gossip reply = Make(GossipKind::kRecords, revision);
-    const size_t end = std::min(records.size(), i + kRecordsPerDatagram);
-    reply.records.assign(records.begin() + static_cast<ptrdiff_t>(i),
-                         records.begin() + static_cast<ptrdiff_t>(end));
+    const size_t first = i * kRecordsPerDatagram;
+    const size_t end = std::min(differing.size(), first + kRecordsPerDatagram);
+    for (size_t j = first; j < end; ++j) {
+      reply.records.push_back(members_.at(differing[j]).record);
+    }
     out.push_back({from, std::move(reply)});
   }
 }
@@ -482,9 +499,11 @@
 
 void Membership::SendDigest(TimePoint now, Revision revision,
                             std::vector<GossipSend>& out) {
-  digest_wait_ = std::clamp(digest_wait_ * 2, options_.first_digest_period,
-                            options_.digest_period);
-  next_digest_ = now + digest_wait_;
+  // No answer says nothing of whether the tables differ.
+  const Duration wait = std::max(digest_wait_, options_.first_digest_period);
+  next_digest_ =
+      now + (digest_answered_ ? wait : std::max(wait, options_.digest_retry));
+  digest_answered_ = false;
   Endpoint to;
   const Member* member = RandomPresent();
   if (member != nullptr) {
@@ -499,6 +518,18 @@
   out.push_back({to, std::move(digest)});
 }
 
+/** Compares again soon after an answer that taught something new. */
+void Membership::OnDigestAnswer(TimePoint now, size_t learned) {
+  digest_answered_ = true;
+  if (learned == 0) {
+    digest_wait_ = std::clamp(digest_wait_ * 2, options_.first_digest_period,
+                              options_.digest_period);
+    return;
+  }
+  digest_wait_ = options_.first_digest_period;
+  next_digest_ = std::min(next_digest_, now + digest_wait_);
+}
+
 void Membership::ProbeDead(TimePoint now, Revision revision,
                            std::vector<GossipSend>& out) {
   next_dead_probe_ = now + options_.dead_probe_period;
