--- a/packages/agent/include/agent/agent.h
+++ b/packages/agent/include/agent/agent.h
@@ -114,6 +114,7 @@
   bool JoinFeed(TimePoint now, const Pending& pending, Outbox& out);
   bool RefuseUnsupported(TimePoint now, const Pending& pending, Outbox& out);
   bool ServeLaterBlock(TimePoint now, const Pending& pending, Outbox& out);
+  void NoteBlock(TimePoint now, const Pending& pending);
   void OnWrite(TimePoint now, const schema::Envelope& envelope, Pending pending,
                const coap::Message& request, Outbox& out);
   void RunWrite(TimePoint now, Pending pending, const coap::Message& request,
--- a/packages/agent/include/agent/feed_publisher.h
+++ b/packages/agent/include/agent/feed_publisher.h
@@ -19,9 +19,12 @@
 namespace sesamesaddle {
 
 struct FeedOptions {
-  /** First repetition of an unacknowledged notification; doubles each time. */
+  /** First repetition of an unacknowledged notification; doubles each time...
+   */
   Duration first_retry = std::chrono::milliseconds(400);
-  int max_sends = 7;
+  /** ...up to this: each repetition carries the newest state. */
+  Duration longest_retry = std::chrono::seconds(2);
+  int max_sends = 14;
   /** A feed without news repeats its state, to find a silent path. */
   Duration keepalive = std::chrono::seconds(10);
   /** A caller that hears nothing for this long registers again. */
--- a/packages/agent/include/agent/flow_registry.h
+++ b/packages/agent/include/agent/flow_registry.h
@@ -30,7 +30,8 @@
   int running = 0;  // Requests without an answer yet.
   int feeds = 0;
   bool handing_over = false;
-  Homes homes;                         // Where the flow is registered.
+  TimePoint transfer_until{};  // A caller is fetching blocks until then.
+  Homes homes;                 // Where the flow is registered.
   std::vector<schema::Envelope> held;  // Arrived while it is handed over.
 };
 
@@ -45,6 +46,8 @@
   size_t max_held_per_flow = 16;
   /** Off only to measure what the directory is for. */
   bool use_directory = true;
+  /** On only for the baseline: a flow goes to its first home, whatever load. */
+  bool place_by_hash = false;
 };
 
 struct FlowRegistryCounters {
--- a/packages/agent/src/agent.cc
+++ b/packages/agent/src/agent.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr int kHttpOk = 200;
+constexpr Duration kComeBackAfter = std::chrono::seconds(1);
+// A caller that has not asked for the next block by then has given up or got
+// the last one.
+constexpr Duration kBlockPause = std::chrono::milliseconds(1000);
 // Shorter than the first repetition of a notification by far.
 constexpr Duration kFeedPeriod = std::chrono::milliseconds(50);
 constexpr Duration kMemorySweepPeriod = std::chrono::seconds(5);
@@ -290,6 +294,7 @@
       SendDatagram(flow, pending.balancer, answer, out);
       return;
     case MessageMemory::State::kRunning:
+    case MessageMemory::State::kConfirmed:
       ++counters_.repeated;
       return;
     case MessageMemory::State::kNew:
@@ -358,18 +363,34 @@
   }
   if (block->number == 0) return false;
   const LargeBody* body = bodies_.Find(pending.flow, pending.request.Path());
-  if (body != nullptr) {
-    Reply(now, pending, MakeBlock(*body, *block), out);
+  if (body == nullptr) {
+    // Another run could give another answer: its blocks must not be mixed
+    // with those that the caller has.
+    Reply(now, pending,
+          NotRunAnswer(NotRunReason::kAnswerExpired, kComeBackAfter), out);
     return true;
   }
-  // A read is run again; its entity tag tells whether the blocks fit.
-  if (pending.request.code == coap::Code::kGet) return false;
-  coap::Message answer;
-  answer.code = coap::Code::kRequestEntityIncomplete;
-  Reply(now, pending, std::move(answer), out);
+  NoteBlock(now, pending);
+  Reply(now, pending, MakeBlock(*body, *block), out);
   return true;
 }
 
+/**
+ * A caller that asks for a block has got those before. Late repetitions of
+ * their messages are not answered again: an old block in the middle of a
+ * transfer makes some callers take the answer to pieces. The flow stays here
+ * while the transfer lasts.
+ */
+void Agent::NoteBlock(TimePoint now, const Pending& pending) {
+  const std::string path = pending.request.Path();
+  for (const uint16_t earlier : bodies_.TakeServed(pending.flow, path)) {
+    messages_.Confirm({pending.flow, earlier});
+  }
+  bodies_.NoteServed(pending.flow, path, pending.request.message_id);
+  OwnedFlow* owned = flows_.Find(pending.flow);
+  if (owned != nullptr) owned->transfer_until = now + kBlockPause;
+}
+
 // ---- Non-idempotent requests.
 
 void Agent::OnWrite(TimePoint now, const schema::Envelope& envelope,
@@ -525,7 +546,6 @@
 
 coap::Message Agent::MakeAnswer(TimePoint now, const Pending& pending,
                                 const JobResult& result, Outbox& out) {
-  constexpr Duration kComeBackAfter = std::chrono::seconds(1);
   if (result.kind == JobResult::Kind::kNotRun) {
     return NotRunAnswer(result.not_run, kComeBackAfter);
   }
@@ -565,6 +585,7 @@
   large.head = answer;
   answer = MakeBlock(large, asked);
   bodies_.Put(now, pending.flow, request.Path(), std::move(large));
+  NoteBlock(now, pending);
   return answer;
 }
 
@@ -769,7 +790,8 @@
     if (leaving.size() >= kFlowsPerTick) break;
     if (!MustHandOver(now, flow, owned)) continue;
     scan_flows_ = true;  // Until no flow is left that must go.
-    if (owned.running == 0 && !owned.handing_over) {
+    if (owned.running == 0 && !owned.handing_over &&
+        now >= owned.transfer_until) {
       leaving.emplace_back(flow, owned.service);
     }
   }
--- a/packages/agent/src/feed_publisher.cc
+++ b/packages/agent/src/feed_publisher.cc
@@ -181,7 +181,9 @@
   feed.pending = true;
   feed.has_news = false;
   feed.sent_version = poll.state.Version();
-  feed.next_send = now + options_.first_retry * (int64_t{1} << feed.sends);
+  feed.next_send =
+      now + std::min(options_.longest_retry,
+                     options_.first_retry * (int64_t{1} << feed.sends));
   ++feed.sends;
 }
 
--- a/packages/agent/src/flow_registry.cc
+++ b/packages/agent/src/flow_registry.cc
@@ -341,7 +341,9 @@
       candidates.push_back(id);
     }
   }
-  const MemberId chosen = loads_.ChooseForFlow(now, candidates);
+  const MemberId chosen = options_.place_by_hash
+                              ? FindHomes(flow, candidates).first
+                              : loads_.ChooseForFlow(now, candidates);
   const Epoch epoch(known_epoch.value() + 1);
   ++(known_epoch == Epoch() ? counters_.placed : counters_.replaced);
   if (chosen == MemberId()) {
--- a/packages/agent/tests/agent_test.cc
+++ b/packages/agent/tests/agent_test.cc
@@ -382,6 +382,21 @@
   }
   CHECK(received == body);
   CHECK(fixture.TakeCalls().empty());
+  // A late repetition of an earlier block's message is not answered again.
+  fixture.Deliver(MakeRequest(coap::Code::kGet, 1));
+  CHECK(fixture.TakeAnswers().empty());
+}
+
+TEST_CASE("A later block of an answer that is not kept is refused, not run") {
+  AgentFixture fixture;
+  coap::Block block;
+  block.number = 2;
+  coap::Message request = MakeRequest(coap::Code::kGet, 1);
+  request.AddUint(coap::OptionNumber::kBlock2, block.Pack());
+  fixture.Deliver(request);
+  CHECK(fixture.TakeCalls().empty());
+  CHECK(fixture.TakeAnswer().payload ==
+        R"({"outcome":"not_run","reason":"answer_expired"})");
 }
 
 TEST_CASE("An envelope of another service or recipient is refused") {
--- a/packages/serving/include/serving/answer.h
+++ b/packages/serving/include/serving/answer.h
@@ -18,6 +18,7 @@
   kTargetUnreachable,
   kTargetShed,
   kNoTarget,
+  kAnswerExpired,  // A later block was asked for of an answer not kept.
 };
 
 /** Why it is not known whether a request was run. */
--- a/packages/serving/include/serving/body_cache.h
+++ b/packages/serving/include/serving/body_cache.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "coap/message.h"
 #include "core/endpoint.h"
@@ -31,6 +32,11 @@
 
   void Put(TimePoint now, const Flow& flow, const std::string& path,
            LargeBody body);
+  /** Notes that a block went out as the answer to that message. */
+  void NoteServed(const Flow& flow, const std::string& path,
+                  uint16_t message_id);
+  /** @return the messages noted for the body; they are forgotten. */
+  std::vector<uint16_t> TakeServed(const Flow& flow, const std::string& path);
   const LargeBody* Find(const Flow& flow, const std::string& path) const;
   void Expire(TimePoint now);
   size_t bytes() const { return bytes_; }
@@ -41,6 +47,7 @@
     LargeBody body;
     TimePoint at;
     std::list<Key>::iterator position;
+    std::vector<uint16_t> served;
   };
 
   void Remove(const Key& key);
--- a/packages/serving/include/serving/request_memory.h
+++ b/packages/serving/include/serving/request_memory.h
@@ -43,11 +43,18 @@
 
   explicit MessageMemory(size_t capacity) : capacity_(capacity) {}
 
-  enum class State { kNew, kRunning, kAnswered };
+  enum class State {
+    kNew,
+    kRunning,
+    kAnswered,
+    kConfirmed,  // The caller has shown that it got the answer.
+  };
 
   /** Notes a message that arrived; `answer` is set if it is answered. */
   State Begin(TimePoint now, const MessageKey& key, std::string* answer);
   void Finish(TimePoint now, const MessageKey& key, std::string answer);
+  /** The caller goes on from the answer: a repetition is only late. */
+  void Confirm(const MessageKey& key);
   /** The message was not taken up after all. */
   void Abandon(const MessageKey& key) { entries_.erase(key); }
   void Expire(TimePoint now);
@@ -58,6 +65,7 @@
     bool answered = false;
     std::string answer;
     TimePoint at;
+    bool confirmed = false;
   };
 
   size_t capacity_;
--- a/packages/serving/src/answer.cc
+++ b/packages/serving/src/answer.cc
@@ -26,6 +26,8 @@
       return "target_shed";
     case NotRunReason::kNoTarget:
       return "no_target";
+    case NotRunReason::kAnswerExpired:
+      return "answer_expired";
   }
   return "other";
 }
--- a/packages/serving/src/body_cache.cc
+++ b/packages/serving/src/body_cache.cc
@@ -12,10 +12,23 @@
   Remove(key);
   bytes_ += body.body.size();
   order_.push_back(key);
-  entries_[key] = {std::move(body), now, std::prev(order_.end())};
+  entries_[key] = {std::move(body), now, std::prev(order_.end()), {}};
   while (bytes_ > capacity_ && entries_.size() > 1) Remove(order_.front());
 }
 
+void BodyCache::NoteServed(const Flow& flow, const std::string& path,
+                           uint16_t message_id) {
+  const auto it = entries_.find({flow, path});
+  if (it != entries_.end()) it->second.served.push_back(message_id);
+}
+
+std::vector<uint16_t> BodyCache::TakeServed(const Flow& flow,
+                                            const std::string& path) {
+  const auto it = entries_.find({flow, path});
+  if (it == entries_.end()) return {};
+  return std::exchange(it->second.served, {});
+}
+
 const LargeBody* BodyCache::Find(const Flow& flow,
                                  const std::string& path) const {
   const auto it = entries_.find({flow, path});
--- a/packages/serving/src/request_memory.cc
+++ b/packages/serving/src/request_memory.cc
@@ -12,6 +12,7 @@
     return State::kNew;
   }
   if (!it->second.answered) return State::kRunning;
+  if (it->second.confirmed) return State::kConfirmed;
   *answer = it->second.answer;
   return State::kAnswered;
 }
@@ -20,11 +21,16 @@
                            std::string answer) {
   const auto it = entries_.find(key);
   if (it == entries_.end()) return;
-  it->second = {true, std::move(answer), now};
+  it->second = {true, std::move(answer), now, false};
   answered_.emplace_back(now, key);
   Expire(now);
 }
 
+void MessageMemory::Confirm(const MessageKey& key) {
+  const auto it = entries_.find(key);
+  if (it != entries_.end()) it->second.confirmed = true;
+}
+
 void MessageMemory::Expire(TimePoint now) {
   while (!answered_.empty()) {
     const auto& [at, key] = answered_.front();
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -120,7 +120,8 @@
 start_target() {
   start "target-$1" "$BIN/standins/standin_target" --listen "$(target_http "$1")" \
     --name "$(service_of "$1")-$1" --service "$(service_of "$1")" \
-    --slots "$SLOTS" --work-ms "$WORK_MS" --seed "$1"
+    --slots "$SLOTS" --work-ms "$WORK_MS" --seed "$1" \
+    --journal "$WORK/journal-$1.txt"
 }
 
 start_agent() {
--- a/standins/target/main.cc
+++ b/standins/target/main.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <fstream>
 #include <list>
 #include <map>
 #include <memory>
@@ -36,6 +37,7 @@
   int slots = 3;
   int feed_period_ms = 1000;
   uint64_t seed = 1;
+  std::string journal;  // File of the orders that were run; kept on restart.
 };
 
 class TargetStandIn {
@@ -55,6 +57,11 @@
     server_ = std::move(*server);
     timer_ =
         loop.Every(std::chrono::milliseconds(10), [this] { AnswerFeeds(); });
+    if (settings.journal.empty()) return;
+    std::ifstream earlier(settings.journal);
+    std::string id;
+    while (earlier >> id) ++runs_[id];
+    journal_.open(settings.journal, std::ios::app);
   }
 
  private:
@@ -120,7 +127,9 @@
       return;
     }
     if (request.path == "/orders" && request.method == "POST") {
-      ++runs_[QueryValue(request.query, "id")];
+      const std::string id = QueryValue(request.query, "id");
+      ++runs_[id];
+      if (journal_.is_open()) journal_ << id << std::endl;
     }
     ++in_flight_;
     if (in_flight_ > settings_.slots) ++over_slots_;
@@ -240,6 +249,7 @@
   EventLoop::Timer timer_;
   std::list<WaitingFeed> feeds_;
   std::map<std::string, int> runs_;
+  std::ofstream journal_;
   Mode mode_ = Mode::kOk;
   int slow_ms_ = 500;
   int in_flight_ = 0;
@@ -262,6 +272,8 @@
   app.add_option("--feed-period-ms", settings.feed_period_ms,
                  "Time between versions of the feed");
   app.add_option("--seed", settings.seed, "Seed of the work times");
+  app.add_option("--journal", settings.journal,
+                 "File that keeps the orders that were run over a restart");
   CLI11_PARSE(app, argc, argv);
   signal(SIGPIPE, SIG_IGN);
   const sesamesaddle::SteadyClock clock;
--- a/tests/cluster/scenario.cc
+++ b/tests/cluster/scenario.cc
@@ -36,7 +36,10 @@
     if (random.Below(kScale) < chance % kScale) ++due;
     for (uint64_t i = 0; i < due; ++i) {
       auto& callers = cluster_->callers();
-      VirtualCaller& caller = *callers[random.Below(callers.size())];
+      const bool hot =
+          static_cast<double>(random.Below(kScale)) < hot_share * kScale;
+      const size_t range = hot ? (callers.size() + 9) / 10 : callers.size();
+      VirtualCaller& caller = *callers[random.Below(range)];
       if (!caller.idle()) continue;
       const bool write =
           static_cast<double>(random.Below(kScale)) < write_share * kScale;
@@ -99,11 +102,14 @@
   return wrong;
 }
 
-int Scenario::BrokenFlows() const {
+int Scenario::BrokenFlows(Duration feed_bound) const {
   int broken = 0;
   for (const auto& caller : cluster_->callers()) {
     const bool twice = cluster_->OwnersOf(caller->flow()).size() > 1;
-    const bool feed_again = caller->feed_registrations() > 1;
+    const bool feed_again =
+        caller->feed_registrations() > 1 ||
+        (caller->feed_registrations() == 1 &&
+         caller->LongestSilence(cluster_->now()) > feed_bound);
     const bool unanswered = std::any_of(
         caller->requests().begin(), caller->requests().end(),
         [](const CallerRequest& request) {
@@ -139,7 +145,10 @@
   double sum = 0;
   double most = 0;
   for (size_t i = 0; i < cluster_->agent_count(); ++i) {
-    const auto work = static_cast<double>(cluster_->target(i).completed);
+    const auto before = work_before_.find(i);
+    const auto work = static_cast<double>(
+        cluster_->target(i).completed -
+        (before == work_before_.end() ? 0 : before->second));
     sum += work;
     most = std::max(most, work);
   }
@@ -147,4 +156,26 @@
                   : most * static_cast<double>(cluster_->agent_count()) / sum;
 }
 
+void Scenario::ForgetWork() {
+  for (size_t i = 0; i < cluster_->agent_count(); ++i) {
+    work_before_[i] = cluster_->target(i).completed;
+  }
+}
+
+Duration Scenario::Percentile(double percent) const {
+  std::vector<Duration> times;
+  for (const auto& caller : cluster_->callers()) {
+    for (const CallerRequest& request : caller->requests()) {
+      if (request.end == End::kAnswered) {
+        times.push_back(request.ended - request.started);
+      }
+    }
+  }
+  if (times.empty()) return Duration::zero();
+  const auto rank = static_cast<ptrdiff_t>(
+      percent / 100 * static_cast<double>(times.size() - 1));
+  std::nth_element(times.begin(), times.begin() + rank, times.end());
+  return times[static_cast<size_t>(rank)];
+}
+
 }  // namespace sesamesaddle
--- a/tests/cluster/scenario.h
+++ b/tests/cluster/scenario.h
@@ -1,6 +1,7 @@
 #ifndef SESAMESADDLE_TESTS_CLUSTER_SCENARIO_H_
 #define SESAMESADDLE_TESTS_CLUSTER_SCENARIO_H_
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -20,6 +21,8 @@
   VirtualCluster& cluster() { return *cluster_; }
   /** Adds callers that send reads and orders at random moments. */
   void AddCallers(size_t count, size_t feeds);
+  /** Share of requests that go to a tenth of the callers. */
+  double hot_share = 0;
   /** Sends about `rate` requests a second for a while. */
   void Load(Duration duration, double rate, double write_share);
   /** Ends the load and waits for the last answers. */
@@ -36,16 +39,23 @@
   /** Answers that belong to another request. */
   int WrongAnswers() const;
   int Count(End end) const;
-  /** Flows that two running agents own, or feeds that began again. */
-  int BrokenFlows() const;
+  /**
+   * Flows that two running agents own, with a request that got no certain
+   * answer, or with a feed that began again or was silent for longer than this.
+   */
+  int BrokenFlows(Duration feed_bound = std::chrono::seconds(30)) const;
   int64_t FeedRegressions() const;
   Duration LongestSilence() const;
-  /** Most work of a target over the mean. */
+  /** Most work of a target over the mean, since the last ForgetWork. */
   double Imbalance() const;
+  void ForgetWork();
+  /** Time to the answer that this share of the answered requests kept. */
+  Duration Percentile(double percent) const;
 
  private:
   std::unique_ptr<VirtualCluster> cluster_;
   int64_t next_order_ = 1;
+  std::map<size_t, int64_t> work_before_;
 };
 
 }  // namespace sesamesaddle
--- a/tools/load/caller.cc
+++ b/tools/load/caller.cc
@@ -1,5 +1,6 @@
 #include "caller.h"
 
+#include <cstdio>
 #include <cstring>
 
 #include "core/hash.h"
@@ -181,7 +182,11 @@
   const std::string body = TextOf(received);
   ++report_.notifications;
   last_news_ = now;
-  if (Field(body, "service") != options_.service) ++report_.wrong_service;
+  if (Field(body, "service") != options_.service) {
+    ++report_.wrong_service;
+    fprintf(stderr, "load: feed of %s got: %s\n", options_.service.c_str(),
+            body.c_str());
+  }
   const std::string version = Field(body, "version");
   const int64_t number = version.empty() ? 0 : std::stoll(version);
   if (number < feed_version_) ++report_.feed_regressions;
@@ -235,7 +240,12 @@
   report_.latencies_ms.push_back(latency);
   report_.latencies_by_service[options_.service].push_back(latency);
   if (Field(body, "id") != std::to_string(request_.id)) ++report_.wrong_answers;
-  if (Field(body, "service") != options_.service) ++report_.wrong_service;
+  if (Field(body, "service") != options_.service) {
+    ++report_.wrong_service;
+    fprintf(stderr, "load: request %lld of %s got: %s\n",
+            static_cast<long long>(request_.id),  // NOLINT
+            options_.service.c_str(), body.c_str());
+  }
   if (!IsWholeAnswer(body)) ++report_.incomplete;
 }
 
