--- a/packages/agent/include/agent/agent.h
+++ b/packages/agent/include/agent/agent.h
@@ -71,9 +71,12 @@
   void OnTick(TimePoint now, Outbox& out);
 
   /** Starts a graceful stop: no new work, flows go to other agents. */
-  void BeginStop();
-  /** @return whether nothing is left that would be lost by stopping now. */
-  bool Stopped() const;
+  void BeginStop(TimePoint now);
+  /**
+   * @return whether nothing is left that would be lost by stopping now, and
+   *         the other agents have had time to learn of the stop.
+   */
+  bool Stopped(TimePoint now) const;
   void Leave(TimePoint now, Outbox& out) { control_.Leave(now, out); }
 
   ControlPlane& control() { return control_; }
@@ -181,6 +184,7 @@
   TimePoint next_expiry_{};
   TimePoint next_feeds_{};
   bool stopping_ = false;
+  TimePoint stop_began_{};
   // Whether flows may be here whose service is served elsewhere by now.
   bool scan_flows_ = false;
 };
--- a/packages/agent/src/agent.cc
+++ b/packages/agent/src/agent.cc
@@ -10,6 +10,9 @@
 
 constexpr int kHttpOk = 200;
 constexpr Duration kComeBackAfter = std::chrono::seconds(1);
+// Peers that have not heard of a stop lend requests to an agent that is gone,
+// whose outcome nobody knows; several load reports tell them of it in time.
+constexpr Duration kShortestStop = std::chrono::milliseconds(1500);
 // A caller that has not asked for the next block by then has given up or got
 // the last one.
 constexpr Duration kBlockPause = std::chrono::milliseconds(1000);
@@ -874,14 +877,16 @@
   echo_.Expire(now);
 }
 
-void Agent::BeginStop() {
+void Agent::BeginStop(TimePoint now) {
   stopping_ = true;
+  stop_began_ = now;
   control_.BeginStop();
+  next_report_ = now;  // Peers must not lend to us any more.
 }
 
-bool Agent::Stopped() const {
+bool Agent::Stopped(TimePoint now) const {
   return flows_.owned().empty() && runner_.unfinished() == 0 &&
-         handover_.under_way() == 0;
+         handover_.under_way() == 0 && now - stop_began_ >= kShortestStop;
 }
 
 }  // namespace sesamesaddle
--- a/packages/daemon/include/daemon/agent_role.h
+++ b/packages/daemon/include/daemon/agent_role.h
@@ -26,7 +26,7 @@
                  const schema::PeerMessage& message, Outbox& out) override;
   void OnTick(TimePoint now, Outbox& out) override;
   void Perform(const Action& action) override;
-  void BeginStop() override { agent_.BeginStop(); }
+  void BeginStop() override;
   std::string WaitingFor(TimePoint now) const override;
   void Leave(TimePoint now, Outbox& out) override;
   Counters counters() const override;
--- a/packages/daemon/src/agent_role.cc
+++ b/packages/daemon/src/agent_role.cc
@@ -127,12 +127,14 @@
   carry_out_(out);
 }
 
-std::string AgentRole::WaitingFor(TimePoint /*now*/) const {
-  if (agent_.Stopped()) return "";
+std::string AgentRole::WaitingFor(TimePoint now) const {
+  if (agent_.Stopped(now)) return "";
   return std::to_string(agent_.flows().owned().size()) + " flows and " +
          std::to_string(agent_.runner().unfinished()) + " requests";
 }
 
+void AgentRole::BeginStop() { agent_.BeginStop(loop_.Now()); }
+
 void AgentRole::Leave(TimePoint now, Outbox& out) { agent_.Leave(now, out); }
 
 Counters AgentRole::counters() const {
--- a/tests/support/virtual_cluster.cc
+++ b/tests/support/virtual_cluster.cc
@@ -170,7 +170,7 @@
 void VirtualCluster::StopAgent(size_t i) {
   Node& node = *nodes_[agents_[i]];
   node.stopping = true;
-  node.agent->BeginStop();
+  node.agent->BeginStop(now_);
 }
 
 void VirtualCluster::StopBalancer(size_t i) {
@@ -227,7 +227,7 @@
 
 void VirtualCluster::AdvanceStop(size_t index) {
   Node& node = *nodes_[index];
-  const bool done = node.agent ? node.agent->Stopped()
+  const bool done = node.agent ? node.agent->Stopped(now_)
                                : now_ - node.stop_began >= kBalancerLinger;
   if (!done) return;
   Outbox out;
