--- a/packages/agent/include/agent/agent.h
+++ b/packages/agent/include/agent/agent.h
@@ -156,7 +156,6 @@
   // Time.
   void ReactToChanges(TimePoint now, Outbox& out);
   void ReportLoad(TimePoint now, Outbox& out);
-  void ProbeSilentPeers(TimePoint now, Outbox& out);
   void ExpireMemory(TimePoint now);
   void Settle(TimePoint now, Outbox& out);
 
--- /dev/null
+++ b/packages/agent/src/agent_handover.cc
@@ -0,0 +1,167 @@
+// The part of Agent that gives flows to other agents and takes them over.
+
+#include <utility>
+
+#include "agent/agent.h"
+
+namespace sesamesaddle {
+
+// ---- Handing flows over.
+
+schema::FlowState Agent::ExportFlow(const Flow& flow) const {
+  schema::FlowState state;
+  state.flow = ToKey(flow);
+  const auto owned = flows_.owned().find(flow);
+  state.service_id = owned->second.service.value();
+  state.epoch = owned->second.epoch.value();
+  state.balancer = owned->second.balancer.Pack();
+  state.next_message_id = owned->second.next_message_id;
+  for (const auto& [nonce, request] : nonces_.OfFlow(flow)) {
+    schema::RememberedRequest remembered;
+    remembered.nonce = nonce.value();
+    remembered.request_digest = static_cast<int64_t>(request.digest);
+    remembered.message_id = 0;
+    remembered.answer = request.answer;
+    remembered.remaining_ms = 0;
+    state.requests.push_back(std::move(remembered));
+  }
+  state.feeds = feeds_.Export(flow);
+  schema::EchoGrant own;
+  own.issuer = control_.self_id().value();
+  own.key = echo_.key();
+  state.grants.push_back(std::move(own));
+  for (const auto& [issuer, key] : echo_.Grants(flow)) {
+    schema::EchoGrant earlier;
+    earlier.issuer = issuer.value();
+    earlier.key = key;
+    state.grants.push_back(std::move(earlier));
+  }
+  return state;
+}
+
+void Agent::DropFlow(const Flow& flow, Outbox& out) {
+  feeds_.RemoveFlow(flow, out);
+  echo_.RemoveGrants(flow);
+}
+
+void Agent::OnHandover(TimePoint now, const Endpoint& from,
+                       const schema::Handover& handover, Outbox& out) {
+  liveness_.OnHeard(now, MemberId(handover.sender));
+  schema::HandoverAck ack;
+  ack.batch = handover.batch;
+  ack.sender = control_.self_id().value();
+  ack.taken = true;
+  if (!handover_.AlreadyTaken(handover)) {
+    for (const schema::FlowState& state : handover.flows) {
+      ack.taken = ack.taken && Accepts(now, ServiceId(state.service_id));
+    }
+    if (ack.taken) {
+      handover_.NoteTaken(now, handover);
+      for (const schema::FlowState& state : handover.flows) {
+        ImportFlow(now, state, out);
+      }
+    }
+  }
+  out.Send(from, ack);
+}
+
+bool Agent::Accepts(TimePoint now, ServiceId service) const {
+  return runner_.Accepting(now) && !stopping_ &&
+         control_.services().Serves(control_.self_id(), service);
+}
+
+void Agent::ImportFlow(TimePoint now, const schema::FlowState& state,
+                       Outbox& out) {
+  const Flow flow = FromKey(state.flow);
+  for (const schema::EchoGrant& grant : state.grants) {
+    echo_.AddGrant(now, flow, MemberId(grant.issuer), grant.key);
+  }
+  for (const schema::RememberedRequest& remembered : state.requests) {
+    RememberedRequest request;
+    request.flow = flow;
+    request.digest = static_cast<uint64_t>(remembered.request_digest);
+    request.answered = true;
+    request.answer = remembered.answer;
+    nonces_.Import(now, EchoNonce(remembered.nonce), std::move(request));
+  }
+  const ServiceId service(state.service_id);
+  OwnedFlow& owned = flows_.Adopt(now, flow, service, Epoch(state.epoch), out);
+  owned.balancer = Endpoint::Unpack(state.balancer);
+  owned.next_message_id = static_cast<uint16_t>(state.next_message_id);
+  for (const schema::FeedState& feed : state.feeds) {
+    feeds_.Import(now, flow, service, feed, out);
+  }
+  owned.feeds = static_cast<int>(feeds_.CountOf(flow));
+}
+
+bool Agent::MustHandOver(TimePoint now, const Flow& flow,
+                         const OwnedFlow& owned) const {
+  if (stopping_ || control_.services().Leaving(control_.self_id())) return true;
+  const ServiceEntry* entry = control_.services().FindByAddress(flow.service);
+  const bool served =
+      entry != nullptr && ServiceId(entry->service.id) == owned.service &&
+      control_.services().Serves(control_.self_id(), owned.service);
+  // Feeds need the target itself; single requests can be lent out.
+  return !served || (owned.feeds > 0 && runner_.TargetEjected(now));
+}
+
+std::vector<MemberId> Agent::HandoverCandidates(TimePoint now,
+                                                ServiceId service) const {
+  std::vector<MemberId> candidates;
+  const ServiceEntry* entry = control_.services().Find(service);
+  if (entry == nullptr) return candidates;
+  for (const MemberId id : entry->homes) {
+    if (id != control_.self_id() && !liveness_.Silent(now, id) &&
+        !control_.services().Leaving(id)) {
+      candidates.push_back(id);
+    }
+  }
+  return candidates;
+}
+
+void Agent::HandOverFlows(TimePoint now, Outbox& out) {
+  const bool leaving_now = stopping_ ||
+                           control_.services().Leaving(control_.self_id()) ||
+                           runner_.TargetEjected(now);
+  if (!options_.hand_over || !(leaving_now || scan_flows_)) return;
+  if (!handover_.HasRoom()) return;
+  constexpr size_t kFlowsPerTick =
+      Handover::kFlowsPerBatch * Handover::kBatchesInFlight;
+  std::vector<std::pair<Flow, ServiceId>> leaving;
+  scan_flows_ = false;
+  for (const auto& [flow, owned] : flows_.owned()) {
+    if (leaving.size() >= kFlowsPerTick) break;
+    if (!MustHandOver(now, flow, owned)) continue;
+    scan_flows_ = true;  // Until no flow is left that must go.
+    if (owned.running == 0 && !owned.handing_over &&
+        now >= owned.transfer_until) {
+      leaving.emplace_back(flow, owned.service);
+    }
+  }
+  for (const auto& [flow, service] : leaving) {
+    const MemberId to =
+        loads_.ChooseForFlow(now, HandoverCandidates(now, service));
+    if (to == MemberId()) continue;
+    if (handover_.Start(now, flow, to)) loads_.OnFlowPlaced(to);
+  }
+  handover_.Flush(now, out);
+}
+
+/** Two owners of one flow: the one of the earlier epoch gives it up. */
+void Agent::HandOverSuperseded(TimePoint now, Outbox& out) {
+  for (auto& entry : flows_.TakeSuperseded()) {
+    superseded_.push_back(std::move(entry));
+  }
+  std::vector<std::pair<Flow, Ownership>> later;
+  for (const auto& [flow, winner] : superseded_) {
+    const OwnedFlow* owned = flows_.Find(flow);
+    if (owned == nullptr || owned->handing_over) continue;
+    if (!handover_.Start(now, flow, winner.owner)) {
+      later.emplace_back(flow, winner);
+    }
+  }
+  superseded_ = std::move(later);
+  handover_.Flush(now, out);
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/agent/src/agent_requests.cc
@@ -0,0 +1,407 @@
+// The part of Agent that speaks CoAP: requests, writes, blocks and answers.
+
+#include <utility>
+
+#include "agent/agent.h"
+#include "core/hash.h"
+
+namespace sesamesaddle {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr Duration kComeBackAfter = std::chrono::seconds(1);
+// A caller that has not asked for the next block by then has given up or got
+// the last one.
+constexpr Duration kBlockPause = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+// ---- Requests.
+
+void Agent::OnRequest(TimePoint now, const schema::Envelope& envelope,
+                      const Flow& flow, const coap::Message& request,
+                      Outbox& out) {
+  ++counters_.requests;
+  Pending pending;
+  pending.flow = flow;
+  pending.balancer = Endpoint::Unpack(envelope.balancer);
+  pending.request = request;
+  pending.request.payload.clear();
+  const MessageKey key{flow, request.message_id};
+  std::string answer;
+  switch (messages_.Begin(now, key, &answer)) {
+    case MessageMemory::State::kAnswered:
+      ++counters_.repeated;
+      SendDatagram(flow, pending.balancer, answer, out);
+      return;
+    case MessageMemory::State::kRunning:
+    case MessageMemory::State::kConfirmed:
+      ++counters_.repeated;
+      return;
+    case MessageMemory::State::kNew:
+      break;
+  }
+  if (RefuseUnsupported(now, pending, out)) return;
+  if (ServeLaterBlock(now, pending, out)) return;
+  if (!IsIdempotent(request.code)) {
+    OnWrite(now, envelope, std::move(pending), request, out);
+    return;
+  }
+  const auto observe = request.FindUint(coap::OptionNumber::kObserve);
+  constexpr uint32_t kRegister = 0;
+  if (request.code == coap::Code::kGet && observe) {
+    pending.observe = *observe == kRegister;
+    if (!pending.observe) feeds_.Deregister(flow, request.token, out);
+    if (pending.observe && JoinFeed(now, pending, out)) return;
+  }
+  SubmitJob(now, std::move(pending), request.payload, out);
+}
+
+/** A topic that is polled already gives its state without a request. */
+bool Agent::JoinFeed(TimePoint now, const Pending& pending, Outbox& out) {
+  const OwnedFlow* owned = flows_.Find(pending.flow);
+  if (owned == nullptr) return false;
+  const TopicState* state =
+      feeds_.Find({owned->service, pending.request.Path()});
+  if (state == nullptr) return false;
+  JobResult result;
+  result.kind = JobResult::Kind::kAnswered;
+  result.status = kHttpOk;
+  result.content_type = state->content_type;
+  result.entity_tag = state->entity_tag;
+  result.body = state->body;
+  Reply(now, pending, MakeAnswer(now, pending, result, out), out);
+  return true;
+}
+
+bool Agent::RefuseUnsupported(TimePoint now, const Pending& pending,
+                              Outbox& out) {
+  coap::Message answer;
+  if (HttpMethod(pending.request.code).empty()) {
+    answer.code = coap::Code::kMethodNotAllowed;
+  } else if (pending.request.Find(coap::OptionNumber::kBlock1) != nullptr) {
+    answer.code = coap::Code::kRequestEntityTooLarge;
+  } else if (pending.request.HasUnknownCriticalOption()) {
+    answer.code = coap::Code::kBadOption;
+  } else {
+    return false;
+  }
+  Reply(now, pending, std::move(answer), out);
+  return true;
+}
+
+/** A block behind the first comes from memory; it never runs a request. */
+bool Agent::ServeLaterBlock(TimePoint now, const Pending& pending,
+                            Outbox& out) {
+  const auto value = pending.request.FindUint(coap::OptionNumber::kBlock2);
+  if (!value) return false;
+  const auto block = coap::Block::Unpack(*value);
+  if (!block) {
+    coap::Message answer;
+    answer.code = coap::Code::kBadRequest;
+    Reply(now, pending, std::move(answer), out);
+    return true;
+  }
+  if (block->number == 0) return false;
+  const LargeBody* body = bodies_.Find(pending.flow, pending.request.Path());
+  if (body == nullptr) {
+    // Another run could give another answer: its blocks must not be mixed
+    // with those that the caller has.
+    Reply(now, pending,
+          NotRunAnswer(NotRunReason::kAnswerExpired, kComeBackAfter), out);
+    return true;
+  }
+  NoteBlock(now, pending);
+  Reply(now, pending, MakeBlock(*body, *block), out);
+  return true;
+}
+
+/**
+ * A caller that asks for a block has got those before. Late repetitions of
+ * their messages are not answered again: an old block in the middle of a
+ * transfer makes some callers take the answer to pieces. The flow stays here
+ * while the transfer lasts.
+ */
+void Agent::NoteBlock(TimePoint now, const Pending& pending) {
+  const std::string path = pending.request.Path();
+  for (const uint16_t earlier : bodies_.TakeServed(pending.flow, path)) {
+    messages_.Confirm({pending.flow, earlier});
+  }
+  bodies_.NoteServed(pending.flow, path, pending.request.message_id);
+  OwnedFlow* owned = flows_.Find(pending.flow);
+  if (owned != nullptr) owned->transfer_until = now + kBlockPause;
+}
+
+// ---- Non-idempotent requests.
+
+void Agent::OnWrite(TimePoint now, const schema::Envelope& envelope,
+                    Pending pending, const coap::Message& request,
+                    Outbox& out) {
+  const coap::Option* echo = request.Find(coap::OptionNumber::kEcho);
+  if (echo == nullptr) {
+    Challenge(now, pending, out);
+    return;
+  }
+  const EchoCheck check = echo_.Check(now, pending.flow, echo->value);
+  switch (check.verdict) {
+    case EchoVerdict::kFresh:
+      RunWrite(now, std::move(pending), request, check, out);
+      return;
+    case EchoVerdict::kStale:
+      if (nonces_.Find(check.nonce) != nullptr) {
+        RunWrite(now, std::move(pending), request, check, out);
+        return;
+      }
+      Challenge(now, pending, out);  // Remembered longer, so it never ran.
+      return;
+    case EchoVerdict::kForgotten:
+      Reply(now, pending, UnknownAnswer(UnknownReason::kOwnerGone), out);
+      return;
+    case EchoVerdict::kForeign:
+      PassToIssuer(now, envelope, check.issuer, pending, out);
+      return;
+    case EchoVerdict::kMalformed:
+      Challenge(now, pending, out);  // No owner accepts it, so nothing ran.
+      return;
+  }
+}
+
+void Agent::RunWrite(TimePoint now, Pending pending,
+                     const coap::Message& request, const EchoCheck& check,
+                     Outbox& out) {
+  const std::string path = request.Path();
+  const uint64_t digest = Hash64(request.payload, Hash64(path));
+  auto state = NonceMemory::State::kNew;
+  if (options_.remember_requests) {
+    state = nonces_.Begin(now, check.nonce, pending.flow, digest);
+  }
+  switch (state) {
+    case NonceMemory::State::kNew:
+      pending.has_nonce = true;
+      pending.nonce = check.nonce;
+      SubmitJob(now, std::move(pending), request.payload, out);
+      return;
+    case NonceMemory::State::kRunning:
+      // Joins: OnFinished answers every message that waits for the nonce.
+      pending.has_nonce = true;
+      pending.nonce = check.nonce;
+      pending_.emplace(runner_.NewCallId(), std::move(pending));
+      return;
+    case NonceMemory::State::kAnswered: {
+      ++counters_.repeated;
+      auto answer = coap::Parse(nonces_.Find(check.nonce)->answer);
+      if (answer) Reply(now, pending, std::move(*answer), out);
+      return;
+    }
+    case NonceMemory::State::kOtherBody:
+      Challenge(now, pending, out);
+      return;
+  }
+}
+
+void Agent::Challenge(TimePoint now, const Pending& pending, Outbox& out) {
+  ++counters_.challenged;
+  Reply(now, pending, ChallengeAnswer(echo_.Issue(now, pending.flow)), out);
+}
+
+/** Only the issuer of an Echo value knows whether a request ran under it. */
+void Agent::PassToIssuer(TimePoint now, const schema::Envelope& envelope,
+                         MemberId issuer, const Pending& pending, Outbox& out) {
+  const Member* member = control_.membership().Find(issuer);
+  const bool reachable = member != nullptr && member->present() &&
+                         !liveness_.Silent(now, issuer) &&
+                         envelope.purpose != schema::Purpose::kEchoIssuer;
+  if (!reachable) {
+    // A fresh Echo would invite a second run.
+    ++counters_.unknown;
+    Reply(now, pending, UnknownAnswer(UnknownReason::kOwnerGone), out);
+    return;
+  }
+  // The issuer answers this message; a repetition goes there again.
+  messages_.Abandon({pending.flow, pending.request.message_id});
+  schema::Envelope copy = envelope;
+  copy.recipient = issuer.value();
+  copy.purpose = schema::Purpose::kEchoIssuer;
+  copy.hops = static_cast<int16_t>(envelope.hops + 1);
+  liveness_.OnSent(now, issuer);
+  out.Send(member->endpoint(), std::move(copy));
+}
+
+// ---- Running and answering.
+
+void Agent::SubmitJob(TimePoint now, Pending pending, const std::string& body,
+                      Outbox& out) {
+  const ServiceEntry* entry =
+      control_.services().FindByAddress(pending.flow.service);
+  Job job;
+  job.id = runner_.NewCallId();
+  job.method = pending.request.code;
+  job.path = pending.request.Path();
+  job.body = body;
+  if (entry != nullptr) {
+    job.service = ServiceId(entry->service.id);
+    job.priority = entry->service.priority;
+    job.deadline = now + std::chrono::milliseconds(entry->service.deadline_ms);
+  }
+  if (OwnedFlow* owned = flows_.Find(pending.flow)) ++owned->running;
+  pending_.emplace(job.id, std::move(pending));
+  runner_.Submit(now, std::move(job), out);
+}
+
+void Agent::OnFinished(TimePoint now, CallId id, JobResult result,
+                       Outbox& out) {
+  const auto it = pending_.find(id);
+  if (it == pending_.end()) return;
+  const Pending pending = std::move(it->second);
+  pending_.erase(it);
+  if (OwnedFlow* owned = flows_.Find(pending.flow)) --owned->running;
+  switch (result.kind) {
+    case JobResult::Kind::kAnswered:
+      ++counters_.answered;
+      break;
+    case JobResult::Kind::kNotRun:
+      ++counters_.not_run;
+      break;
+    case JobResult::Kind::kUnknown:
+      ++counters_.unknown;
+      break;
+  }
+  const coap::Message answer = MakeAnswer(now, pending, result, out);
+  Reply(now, pending, answer, out);
+  if (!pending.has_nonce) return;
+  if (result.kind == JobResult::Kind::kNotRun) {
+    nonces_.Abandon(pending.nonce);
+  } else {
+    nonces_.Finish(now, pending.nonce, coap::Encode(answer));
+  }
+  for (auto joined = pending_.begin(); joined != pending_.end();) {
+    const Pending& other = joined->second;
+    if (!other.has_nonce || other.nonce != pending.nonce) {
+      ++joined;
+      continue;
+    }
+    Reply(now, other, answer, out);
+    joined = pending_.erase(joined);
+  }
+}
+
+coap::Message Agent::MakeAnswer(TimePoint now, const Pending& pending,
+                                const JobResult& result, Outbox& out) {
+  if (result.kind == JobResult::Kind::kNotRun) {
+    return NotRunAnswer(result.not_run, kComeBackAfter);
+  }
+  if (result.kind == JobResult::Kind::kUnknown) {
+    return UnknownAnswer(result.unknown);
+  }
+  const coap::Message& request = pending.request;
+  coap::Message answer = FromHttpStatus(request.code, result.status);
+  if (const auto format = ContentFormat(result.content_type)) {
+    answer.AddUint(coap::OptionNumber::kContentFormat, *format);
+  }
+  LargeBody large;
+  large.entity_tag = MakeEntityTag(result.body);
+  large.body = result.body;
+  OwnedFlow* owned = flows_.Find(pending.flow);
+  if (pending.observe && answer.code == coap::Code::kContent &&
+      owned != nullptr) {
+    const Topic topic{owned->service, request.Path()};
+    const uint32_t sequence = feeds_.Register(
+        now, pending.flow, request.token, topic,
+        {result.entity_tag, result.content_type, result.body}, out);
+    owned->feeds = static_cast<int>(feeds_.CountOf(pending.flow));
+    answer.AddUint(coap::OptionNumber::kObserve, sequence);
+    const auto max_age = std::chrono::duration_cast<std::chrono::seconds>(
+        options_.feeds.max_age);
+    answer.AddUint(coap::OptionNumber::kMaxAge,
+                   static_cast<uint32_t>(max_age.count()));
+  }
+  coap::Block asked;
+  if (const auto value = request.FindUint(coap::OptionNumber::kBlock2)) {
+    asked = coap::Block::Unpack(*value).value_or(asked);
+  }
+  if (result.body.size() <= asked.size() && asked.number == 0) {
+    answer.payload = result.body;
+    return answer;
+  }
+  large.head = answer;
+  answer = MakeBlock(large, asked);
+  bodies_.Put(now, pending.flow, request.Path(), std::move(large));
+  NoteBlock(now, pending);
+  return answer;
+}
+
+void Agent::Reply(TimePoint now, const Pending& pending, coap::Message answer,
+                  Outbox& out) {
+  const coap::Message& request = pending.request;
+  answer.token = request.token;
+  if (request.type == coap::Type::kConfirmable) {
+    answer.type = coap::Type::kAcknowledgement;
+    answer.message_id = request.message_id;
+  } else {
+    answer.type = coap::Type::kNonConfirmable;
+    answer.message_id = static_cast<uint16_t>(random_.Next());
+  }
+  std::string bytes = coap::Encode(answer);
+  messages_.Finish(now, {pending.flow, request.message_id}, bytes);
+  SendDatagram(pending.flow, pending.balancer, std::move(bytes), out);
+}
+
+void Agent::SendDatagram(const Flow& flow, const Endpoint& balancer,
+                         std::string payload, Outbox& out) {
+  schema::Answer answer;
+  answer.flow = ToKey(flow);
+  answer.owner = control_.self_id().value();
+  answer.payload = std::move(payload);
+  out.Send(ChooseBalancer(balancer, Endpoint()), std::move(answer));
+}
+
+SentNotification Agent::SendNotification(const Notification& notification,
+                                         Outbox& out) {
+  OwnedFlow* owned = flows_.Find(notification.flow);
+  coap::Message message;
+  message.type = coap::Type::kConfirmable;
+  message.code = coap::Code::kContent;
+  message.token = notification.token;
+  message.message_id = owned == nullptr ? 0 : owned->next_message_id++;
+  message.AddUint(coap::OptionNumber::kObserve, notification.sequence);
+  const auto max_age =
+      std::chrono::duration_cast<std::chrono::seconds>(notification.max_age);
+  message.AddUint(coap::OptionNumber::kMaxAge,
+                  static_cast<uint32_t>(max_age.count()));
+  const TopicState& state = *notification.state;
+  if (const auto format = ContentFormat(state.content_type)) {
+    message.AddUint(coap::OptionNumber::kContentFormat, *format);
+  }
+  if (state.body.size() <= kBlockBytes) {
+    message.payload = state.body;
+  } else {
+    LargeBody large;
+    large.head = message;
+    large.body = state.body;
+    large.entity_tag = MakeEntityTag(state.body);
+    message = MakeBlock(large, coap::Block());
+    bodies_.Put(now_, notification.flow, notification.path, std::move(large));
+  }
+  schema::Answer answer;
+  answer.flow = ToKey(notification.flow);
+  answer.owner = control_.self_id().value();
+  answer.payload = coap::Encode(message);
+  const Endpoint last = owned == nullptr ? Endpoint() : owned->balancer;
+  const Endpoint balancer = ChooseBalancer(last, notification.avoid);
+  out.Send(balancer, std::move(answer));
+  return {message.message_id, balancer};
+}
+
+/**
+ * The balancer that delivered the flow's last datagram, unless it is gone or
+ * to be avoided; then any other.
+ */
+Endpoint Agent::ChooseBalancer(const Endpoint& preferred,
+                               const Endpoint& avoid) const {
+  if (preferred != avoid && control_.UsableBalancer(preferred)) {
+    return preferred;
+  }
+  return control_.RandomBalancer(avoid == Endpoint() ? preferred : avoid);
+}
+
+}  // namespace sesamesaddle
--- a/packages/balancer/include/balancer/balancer.h
+++ b/packages/balancer/include/balancer/balancer.h
@@ -68,7 +68,6 @@
   void OnAnswer(TimePoint now, const schema::Answer& answer, Outbox& out);
   void OnMisrouted(TimePoint now, const Endpoint& from,
                    const schema::Misrouted& misrouted, Outbox& out);
-  void ProbeSilentAgents(TimePoint now, Outbox& out);
   void ForgetGoneMembers();
 
   BalancerOptions options_;
--- a/packages/balancer/src/balancer.cc
+++ b/packages/balancer/src/balancer.cc
@@ -54,7 +54,7 @@
   control_.OnTick(now, out);
   if (control_.membership().TakeResumed()) liveness_.Reset();
   ForgetGoneMembers();
-  ProbeSilentAgents(now, out);
+  control_.ProbeSilent(now, liveness_, out);
   Drain(now, out);
 }
 
@@ -159,18 +159,6 @@
         out);
 }
 
-void Balancer::ProbeSilentAgents(TimePoint now, Outbox& out) {
-  for (const MemberId agent : liveness_.TakeProbes(now)) {
-    const Member* member = control_.membership().Find(agent);
-    if (member == nullptr || !member->present()) {
-      liveness_.Forget(agent);
-      continue;
-    }
-    out.Send(member->endpoint(), control_.MakePing(agent));
-    if (liveness_.Silent(now, agent)) control_.membership().ProbeSoon(agent);
-  }
-}
-
 void Balancer::ForgetGoneMembers() {
   for (const MemberChange& change : control_.TakeMemberChanges()) {
     if (!change.member.present()) liveness_.Forget(change.member.id());
--- a/packages/daemon/include/daemon/agent_role.h
+++ b/packages/daemon/include/daemon/agent_role.h
@@ -6,7 +6,6 @@
 #include <string>
 
 #include "agent/agent.h"
-#include "daemon/balancer_role.h"
 #include "daemon/role.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
--- a/packages/daemon/include/daemon/balancer_role.h
+++ b/packages/daemon/include/daemon/balancer_role.h
@@ -1,7 +1,6 @@
 #ifndef SESAMESADDLE_DAEMON_BALANCER_ROLE_H_
 #define SESAMESADDLE_DAEMON_BALANCER_ROLE_H_
 
-#include <functional>
 #include <memory>
 #include <string>
 
@@ -13,9 +12,6 @@
 
 namespace sesamesaddle {
 
-/** Hands the actions in an outbox to the process that carries them out. */
-using CarryOut = std::function<void(Outbox& out)>;
-
 /** A balancer with its socket towards the fabric. */
 class BalancerRole : public Role {
  public:
--- a/packages/daemon/include/daemon/operator_commands.h
+++ b/packages/daemon/include/daemon/operator_commands.h
@@ -9,7 +9,6 @@
 #include "command/command.h"
 #include "configuration/change_log.h"
 #include "core/random.h"
-#include "daemon/balancer_role.h"
 #include "daemon/role.h"
 
 namespace sesamesaddle {
--- a/packages/daemon/include/daemon/role.h
+++ b/packages/daemon/include/daemon/role.h
@@ -1,6 +1,7 @@
 #ifndef SESAMESADDLE_DAEMON_ROLE_H_
 #define SESAMESADDLE_DAEMON_ROLE_H_
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -14,6 +15,9 @@
 /** Counters and gauges by name; the names are part of the metrics' names. */
 using Counters = std::map<std::string, int64_t>;
 
+/** Hands the actions in an outbox to the process that carries them out. */
+using CarryOut = std::function<void(Outbox& out)>;
+
 /** What a daemon does besides the control plane: balancer or agent. */
 class Role {
  public:
--- a/packages/node/include/node/control_plane.h
+++ b/packages/node/include/node/control_plane.h
@@ -10,6 +10,7 @@
 #include "core/time.h"
 #include "membership/membership.h"
 #include "node/outbox.h"
+#include "routing/peer_liveness.h"
 #include "routing/service_table.h"
 
 namespace sesamesaddle {
@@ -54,8 +55,8 @@
   /** Asks up to `limit` members that are not known to have a revision. */
   void AskRevisions(Revision revision, size_t limit, Outbox& out);
 
-  /** @return a message that asks a silent member for a sign of life. */
-  schema::Gossip MakePing(MemberId member) const;
+  /** Asks members that owe the data path an answer for a sign of life. */
+  void ProbeSilent(TimePoint now, PeerLiveness& liveness, Outbox& out);
 
   /** Whether this process is one of the few that watch the store. */
   bool ShouldWatchStore() const;
@@ -77,6 +78,7 @@
   bool TakeConfigurationChanged();
 
  private:
+  schema::Gossip MakePing(MemberId member) const;
   void OnFetch(const Endpoint& from, const schema::ConfigurationFetch& fetch,
                Outbox& out);
   void OnNews(TimePoint now, const Endpoint& from,
--- a/packages/node/src/control_plane.cc
+++ b/packages/node/src/control_plane.cc
@@ -169,6 +169,19 @@
   return ping;
 }
 
+void ControlPlane::ProbeSilent(TimePoint now, PeerLiveness& liveness,
+                               Outbox& out) {
+  for (const MemberId id : liveness.TakeProbes(now)) {
+    const Member* member = membership_.Find(id);
+    if (member == nullptr || !member->present()) {
+      liveness.Forget(id);
+      continue;
+    }
+    out.Send(member->endpoint(), MakePing(id));
+    if (liveness.Silent(now, id)) membership_.ProbeSoon(id);
+  }
+}
+
 bool ControlPlane::ShouldWatchStore() const {
   const schema::MemberRecord& self = membership_.self();
   if (self.role != schema::Role::kBalancer) return false;
