drain-grace takes effect: what runs when a drain begins has that long to end

The setting was checked, stored and shown, but nothing read it. Now requests that run on the target when its drain begins are cancelled after the grace and their callers told 'outcome unknown'; later ones run elsewhere anyway. agent_test 'What runs when a drain begins…' (no cancellation before the change).

--- a/packages/agent/include/agent/agent.h
+++ b/packages/agent/include/agent/agent.h
@@ -155,6 +155,7 @@
 
   // Time.
   void ReactToChanges(TimePoint now, Outbox& out);
+  void StartDrainGrace(TimePoint now);
   void ReportLoad(TimePoint now, Outbox& out);
   void ExpireMemory(TimePoint now);
   void Settle(TimePoint now, Outbox& out);
@@ -183,6 +184,7 @@
   TimePoint next_expiry_{};
   TimePoint next_feeds_{};
   bool stopping_ = false;
+  bool leaving_ = false;  // By the configuration seen last.
   TimePoint stop_began_{};
   // Whether flows may be here whose service is served elsewhere by now.
   bool scan_flows_ = false;
--- a/packages/agent/include/agent/request_runner.h
+++ b/packages/agent/include/agent/request_runner.h
@@ -102,6 +102,8 @@
                   const schema::RunFetch& fetch, Outbox& out);
   void OnRunCancel(TimePoint now, const schema::RunCancel& cancel, Outbox& out);
   void OnTick(TimePoint now, Outbox& out);
+  /** Requests of a service that run here now may do so until `limit`. */
+  void LimitRunning(ServiceId service, TimePoint limit);
   void OnMemberGone(TimePoint now, MemberId member, Outbox& out);
 
   /** @return jobs that have ended since the last call. */
--- a/packages/agent/src/agent.cc
+++ b/packages/agent/src/agent.cc
@@ -153,9 +153,23 @@
   if (!changes.empty() || configured) flows_.OnServicesChanged(now);
   if (!configured) return;
   scan_flows_ = true;
+  StartDrainGrace(now);
   ReleaseEarly(now, out);
 }
 
+/** When a drain begins, what runs here has the service's grace to end. */
+void Agent::StartDrainGrace(TimePoint now) {
+  const bool leaving = control_.services().Leaving(control_.self_id());
+  if (leaving && !leaving_) {
+    for (const auto& [id, entry] : control_.services().services()) {
+      const auto grace =
+          std::chrono::milliseconds(entry.service.drain_grace_ms);
+      runner_.LimitRunning(id, now + grace);
+    }
+  }
+  leaving_ = leaving;
+}
+
 // ---- Envelopes.
 
 void Agent::OnEnvelope(TimePoint now, const Endpoint& from,
--- a/packages/agent/src/request_runner.cc
+++ b/packages/agent/src/request_runner.cc
@@ -546,6 +546,13 @@
   }
 }
 
+void RequestRunner::LimitRunning(ServiceId service, TimePoint limit) {
+  for (auto& [id, entry] : jobs_) {
+    if (entry.phase != Phase::kHere || entry.job.service != service) continue;
+    entry.job.deadline = std::min(entry.job.deadline, limit);
+  }
+}
+
 void RequestRunner::OnTick(TimePoint now, Outbox& out) {
   ExpireJobs(now, out);
   CheckLent(now, out);
--- a/packages/agent/tests/agent_test.cc
+++ b/packages/agent/tests/agent_test.cc
@@ -324,6 +324,37 @@
   CHECK(unknown == 2);
 }
 
+TEST_CASE("What runs when a drain begins has the service's grace to end") {
+  AgentFixture fixture;
+  fixture.Deliver(MakeRequest(coap::Code::kGet, 1));
+  const StartCall call = fixture.TakeCall();
+  const auto change = [&](int64_t revision, const schema::Change& what) {
+    schema::ChangeRecord record;
+    record.revision = revision;
+    record.change = what;
+    Outbox out;
+    fixture.agent().control().OnRecord(record, out);
+  };
+  schema::ChangeService grace;
+  grace.name = "s";
+  grace.__set_drain_grace_ms(2000);
+  schema::Change shorter;
+  shorter.__set_change_service(grace);
+  change(5, shorter);
+  schema::SetInstanceMode drain;
+  drain.name = "a-0";
+  drain.mode = schema::InstanceMode::kDraining;
+  schema::Change leave;
+  leave.__set_set_instance_mode(drain);
+  change(6, leave);
+  fixture.Tick(milliseconds(10));
+  fixture.Tick(milliseconds(1900));
+  CHECK(fixture.cancelled.empty());
+  fixture.Tick(milliseconds(200));
+  CHECK(fixture.cancelled == std::vector<CallId>{call.id});
+  CHECK(fixture.TakeAnswer().payload.find("unknown") != std::string::npos);
+}
+
 TEST_CASE("Requests that cannot be served are refused by code") {
   AgentFixture fixture;
   coap::Message request = MakeRequest(static_cast<coap::Code>(5), 1);  // FETCH
