--- a/packages/configuration/tests/configuration_test.cc
+++ b/packages/configuration/tests/configuration_test.cc
@@ -1,6 +1,7 @@
 #include <rapidcheck/catch.h>
 
 #include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
 #include <map>
 #include <memory>
 #include <string>
@@ -172,6 +173,47 @@
 
 using Outcome = SubmitResult::Outcome;
 
+class MockStore : public Store {
+ public:
+  MAKE_MOCK2(Read, void(const std::string&, Done<schema::KeyValue>), override);
+  MAKE_MOCK2(List, void(const std::string&, Done<schema::KeyValueList>),
+             override);
+  MAKE_MOCK4(Create,
+             void(const std::string&, const std::string&, LeaseId,
+                  Done<KeyVersion>),
+             override);
+  MAKE_MOCK4(CompareAndSwap,
+             void(const std::string&, KeyVersion, const std::string&,
+                  Done<KeyVersion>),
+             override);
+  MAKE_MOCK2(Remove, void(const std::string&, Done<KeyVersion>), override);
+  MAKE_MOCK2(GrantLease, void(Duration, Done<LeaseId>), override);
+  MAKE_MOCK2(RenewLease, void(LeaseId, Done<LeaseId>), override);
+  MAKE_MOCK4(Watch,
+             void(const std::string&, int64_t, Duration,
+                  Done<schema::KeyValueList>),
+             override);
+};
+
+TEST_CASE("A change that is refused here writes nothing to the store") {
+  using trompeloeil::_;
+  VirtualScheduler scheduler;
+  MockStore store;
+  ConfigurationReplica replica;
+  ChangeLog log(
+      store, scheduler, replica, [](const schema::ChangeRecord&) {},
+      [](const schema::Configuration&) {});
+  REQUIRE_CALL(store, Read(kSnapshotKey, _))
+      .SIDE_EFFECT(_2(tl::unexpected(StoreError::kNotFound)));
+  REQUIRE_CALL(store, List(kLogPrefix, _))
+      .SIDE_EFFECT(_2(schema::KeyValueList()));
+  FORBID_CALL(store, Create(_, _, _, _));
+  SubmitResult result;
+  log.Submit(MakeRecord(0, Allow("nobody", "*")), std::chrono::seconds(5),
+             [&](const SubmitResult& r) { result = r; });
+  CHECK(result.outcome == Outcome::kRefused);
+}
+
 TEST_CASE("Of two conflicting changes at one moment one is refused by name") {
   VirtualScheduler scheduler;
   MemoryStore memory;
