--- a/cmake/sesamesaddle.cmake
+++ b/cmake/sesamesaddle.cmake
@@ -2,8 +2,8 @@
 
 find_package(tl-expected REQUIRED)
 find_package(CLI11 REQUIRED)
+find_package(nlohmann_json REQUIRED)
 find_package(prometheus-cpp REQUIRED)
-find_package(rapidcheck REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
 find_package(OpenSSL REQUIRED)
@@ -20,6 +20,9 @@
 # sesamesaddle_test(NAME sources... LINK libraries...): the one test program of
 # a library, registered with CTest.
 function(sesamesaddle_test name)
+  if(NOT SESAMESADDLE_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
   add_executable(${name} ${ARG_UNPARSED_ARGUMENTS})
   target_link_libraries(${name} PRIVATE ${ARG_LINK} catch_main rapidcheck)
--- a/packages/configuration/include/configuration/change_log.h
+++ b/packages/configuration/include/configuration/change_log.h
@@ -7,8 +7,9 @@
 
 #include "configuration/change_rules.h"
 #include "configuration/replica.h"
+#include "core/scheduler.h"
 #include "core/time.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace sesamesaddle {
 
@@ -26,14 +27,6 @@
   std::string message;
 };
 
-/** Runs a callback later; the event loop's timer in a process. */
-class Scheduler {
- public:
-  virtual ~Scheduler() = default;
-  virtual void After(Duration delay, std::function<void()> callback) = 0;
-  virtual TimePoint Now() const = 0;
-};
-
 /**
  * The ordered log of changes in the platform's store. Revision N + 1 is made by
  * creating its key, so the store decides between two operators.
--- a/packages/configuration/src/change_log.cc
+++ b/packages/configuration/src/change_log.cc
@@ -229,7 +229,8 @@
 
 void ChangeLog::SaveSnapshot(KeyVersion expected) {
   store_.CompareAndSwap(kSnapshotKey, expected,
-                        EncodeCompact(replica_.current()), [this](auto saved) {
+                        EncodeCompact(replica_.current()), kNoLease,
+                        [this](auto saved) {
                           if (saved) Trim();
                         });
 }
--- a/packages/configuration/tests/configuration_test.cc
+++ b/packages/configuration/tests/configuration_test.cc
@@ -182,13 +182,14 @@
              void(const std::string&, const std::string&, LeaseId,
                   Done<KeyVersion>),
              override);
-  MAKE_MOCK4(CompareAndSwap,
-             void(const std::string&, KeyVersion, const std::string&,
+  MAKE_MOCK5(CompareAndSwap,
+             void(const std::string&, KeyVersion, const std::string&, LeaseId,
                   Done<KeyVersion>),
              override);
   MAKE_MOCK2(Remove, void(const std::string&, Done<KeyVersion>), override);
   MAKE_MOCK2(GrantLease, void(Duration, Done<LeaseId>), override);
   MAKE_MOCK2(RenewLease, void(LeaseId, Done<LeaseId>), override);
+  MAKE_MOCK2(EndLease, void(LeaseId, Done<LeaseId>), override);
   MAKE_MOCK4(Watch,
              void(const std::string&, int64_t, Duration,
                   Done<schema::KeyValueList>),
--- /dev/null
+++ b/packages/core/include/core/event_log.h
@@ -0,0 +1,93 @@
+#ifndef SESAMESADDLE_CORE_EVENT_LOG_H_
+#define SESAMESADDLE_CORE_EVENT_LOG_H_
+
+#include <cstdint>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+#include "core/endpoint.h"
+#include "core/time.h"
+
+namespace sesamesaddle {
+
+/**
+ * What a log line is about. Each kind has a rate limit of its own, so that many
+ * lines of one kind do not hide another.
+ */
+enum class EventKind : uint8_t {
+  kProcess,     // Start, stop, reload.
+  kDependency,  // A dependency was lost or regained.
+  kBelief,      // What the process believes of targets, peers, versions.
+  kPlaced,      // A new flow was sent to a target.
+  kOpened,      // A target holds a new flow.
+  kRefused,     // A new flow was not taken.
+  kMoved,       // A flow of unknown owner was looked up.
+  kReset,       // A flow was reset.
+  kMalformed,   // Bytes that are no packet or message.
+  kCount,
+};
+
+/** Takes log lines; never blocks. */
+class EventLog {
+ public:
+  virtual ~EventLog() = default;
+
+  /** @return whether a line of that kind may be written now. */
+  virtual bool Admit(EventKind kind) = 0;
+  /** Writes one line that Admit allowed. */
+  virtual void Write(EventKind kind, const std::string& line) = 0;
+};
+
+/**
+ * One structured line: a fixed prefix for the part, the event and key=value
+ * pairs. Nothing is formatted unless the line is admitted.
+ */
+class LogLine {
+ public:
+  LogLine(EventLog& log, EventKind kind, std::string_view part,
+          std::string_view event)
+      : log_(log), kind_(kind), admitted_(log.Admit(kind)) {
+    if (admitted_) text_ << part << ": event=" << event;
+  }
+  ~LogLine() {
+    if (admitted_) log_.Write(kind_, text_.str());
+  }
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+
+  template <typename T>
+  LogLine& Add(std::string_view key, const T& value) {
+    if (admitted_) text_ << ' ' << key << '=' << value;
+    return *this;
+  }
+  LogLine& Add(std::string_view key, const Endpoint& value) {
+    if (admitted_) text_ << ' ' << key << '=' << value.ToString();
+    return *this;
+  }
+  /** Names the flow in the same way in every process. */
+  LogLine& Add(std::string_view key, const Flow& flow) {
+    if (admitted_) {
+      text_ << ' ' << key << '=' << flow.caller.ToString() << '>'
+            << flow.service.ToString();
+    }
+    return *this;
+  }
+  LogLine& Add(std::string_view key, Duration duration) {
+    if (admitted_) {
+      text_ << ' ' << key << "_ms="
+            << std::chrono::duration<double, std::milli>(duration).count();
+    }
+    return *this;
+  }
+
+ private:
+  EventLog& log_;
+  EventKind kind_;
+  bool admitted_;
+  std::ostringstream text_;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_CORE_EVENT_LOG_H_
--- a/packages/daemon/include/daemon/daemon.h
+++ b/packages/daemon/include/daemon/daemon.h
@@ -14,7 +14,7 @@
 #include "daemon/seed_keeper.h"
 #include "net/event_loop.h"
 #include "net/udp_socket.h"
-#include "platform/http_store.h"
+#include "platform/store_client.h"
 #include "settings_types.h"
 
 namespace sesamesaddle {
@@ -53,7 +53,7 @@
   schema::DaemonSettings settings_;
   RandomSource& random_;
   LoopScheduler scheduler_;
-  HttpStore store_;
+  StoreClient store_;
   std::unique_ptr<Role> role_;
   std::unique_ptr<ChangeLog> log_;
   std::unique_ptr<SeedKeeper> seeds_;
--- a/packages/daemon/include/daemon/loop_scheduler.h
+++ b/packages/daemon/include/daemon/loop_scheduler.h
@@ -3,7 +3,7 @@
 
 #include <functional>
 
-#include "configuration/change_log.h"
+#include "core/scheduler.h"
 #include "net/event_loop.h"
 
 namespace sesamesaddle {
--- a/packages/daemon/include/daemon/seed_keeper.h
+++ b/packages/daemon/include/daemon/seed_keeper.h
@@ -8,7 +8,7 @@
 #include "configuration/change_log.h"
 #include "core/endpoint.h"
 #include "core/random.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace sesamesaddle {
 
--- a/packages/daemon/src/admin_server.cc
+++ b/packages/daemon/src/admin_server.cc
@@ -1,8 +1,6 @@
 #include "daemon/admin_server.h"
 
 #include <openssl/crypto.h>
-#include <prometheus/metric_family.h>
-#include <prometheus/text_serializer.h>
 
 #include <algorithm>
 #include <charconv>
@@ -11,6 +9,7 @@
 #include "net/query.h"
 #include "schema/codec.h"
 #include "schema/readable_json.h"
+#include "steering_daemon/metrics.h"
 
 namespace sesamesaddle {
 namespace {
@@ -136,28 +135,7 @@
 }
 
 HttpResponse AdminServer::Metrics() const {
-  constexpr char kSuffix[] = "_total";
-  constexpr size_t kSuffixBytes = sizeof(kSuffix) - 1;
-  std::vector<prometheus::MetricFamily> families;
-  for (const auto& [name, value] : sources_.counters()) {
-    prometheus::MetricFamily family;
-    family.name = "sesamesaddle_" + name;
-    family.help = name;
-    const bool counts =
-        name.size() > kSuffixBytes &&
-        name.compare(name.size() - kSuffixBytes, kSuffixBytes, kSuffix) == 0;
-    prometheus::ClientMetric metric;
-    if (counts) {
-      family.type = prometheus::MetricType::Counter;
-      metric.counter.value = static_cast<double>(value);
-    } else {
-      family.type = prometheus::MetricType::Gauge;
-      metric.gauge.value = static_cast<double>(value);
-    }
-    family.metric.push_back(metric);
-    families.push_back(std::move(family));
-  }
-  return Text(200, prometheus::TextSerializer().Serialize(families));
+  return Text(200, FormatMetrics(sources_.counters(), nullptr));
 }
 
 }  // namespace sesamesaddle
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -1,4 +1,5 @@
-// sesamesaddled: a balancer or an agent, as its first argument says.
+// sesamesaddled: a balancer or an agent, for CoAP or for packet flows, as its
+// first argument says.
 
 #include <atomic>
 #include <csignal>
@@ -11,6 +12,7 @@
 #include "daemon/daemon.h"
 #include "daemon/log.h"
 #include "daemon/settings.h"
+#include "daemon/steering_command.h"
 #include "net/event_loop.h"
 
 namespace {
@@ -22,8 +24,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const auto settings =
-      sesamesaddle::ReadSettings(std::vector<std::string>(argv, argv + argc));
+  const std::vector<std::string> arguments(argv, argv + argc);
+  if (sesamesaddle::IsSteeringCommand(arguments)) {
+    return sesamesaddle::RunSteeringCommand(arguments);
+  }
+  const auto settings = sesamesaddle::ReadSettings(arguments);
   if (!settings) {
     const auto& exit = settings.error();
     fputs(exit.text.c_str(), exit.code == 0 ? stdout : stderr);
--- /dev/null
+++ b/packages/daemon/src/steering_command.cc
@@ -0,0 +1,178 @@
+#include "daemon/steering_command.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <csignal>
+#include <memory>
+
+#include "core/random.h"
+#include "daemon/log.h"
+#include "daemon/loop_scheduler.h"
+#include "platform/configuration_document.h"
+#include "platform/host_server.h"
+#include "platform/packet_codec.h"
+#include "platform/settings_file.h"
+#include "platform/store_client.h"
+#include "steering_daemon/agent_process.h"
+#include "steering_daemon/balancer_process.h"
+#include "steering_daemon/rate_limited_log.h"
+
+namespace sesamesaddle {
+namespace {
+
+constexpr char kBalancerCommand[] = "flow-balancer";
+constexpr char kAgentCommand[] = "flow-agent";
+// The store answers in milliseconds; one that is slow by 60 is waited for.
+constexpr Duration kStoreTimeout = std::chrono::milliseconds(600);
+
+SignalFlags signal_flags;
+
+void OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    signal_flags.reload = true;
+  } else {
+    signal_flags.stop = true;
+  }
+}
+
+struct Options {
+  bool balancer = false;
+  std::string settings_path = kDefaultSettingsPath;
+  std::string placement = "least-wait";
+  std::string log_level = "info";
+  bool check_only = false;
+};
+
+void AddOptions(CLI::App* app, Options& options) {
+  app->add_option("--settings", options.settings_path,
+                  "The platform's settings file (TOML)")
+      ->envname(kSettingsVariable)
+      ->capture_default_str();
+  app->add_option("--log-level", options.log_level,
+                  "debug, info, warning or error")
+      ->envname("SESAMESADDLE_LOG_LEVEL")
+      ->check(CLI::Validator(
+          [](const std::string& level) {
+            return IsLogLevel(level) ? std::string()
+                                     : "is not debug, info, warning or error";
+          },
+          "LEVEL"))
+      ->capture_default_str();
+  app->add_flag("--check", options.check_only,
+                "Only check the settings; exit code 0 if they are usable");
+}
+
+std::unique_ptr<PlacementPolicy> MakePlacement(const Options& options,
+                                               const std::string& zone) {
+  if (options.placement == "hash") return std::make_unique<HashPlacement>();
+  return std::make_unique<LeastWaitPlacement>(zone);
+}
+
+/** @return what the role needs and the settings lack, or "". */
+std::string MissingForRole(const Options& options,
+                           const SteeringSettings& settings) {
+  if (options.balancer) return "";
+  const Endpoint none;
+  if (settings.outbound == none) return "listen.outbound is missing";
+  if (settings.control == none) return "listen.control is missing";
+  if (settings.target == none) return "app is missing";
+  if (settings.service.empty()) return "service is missing";
+  return "";
+}
+
+tl::expected<void, NetError> Serve(SteeringProcess& process, EventLoop& loop,
+                                   const SteeringSettings& settings) {
+  auto opened = process.Open();
+  if (!opened) return opened;
+  auto readiness = HostServer::Open(loop, settings.readiness, process);
+  if (!readiness) return tl::unexpected(readiness.error());
+  std::unique_ptr<HostServer> control;
+  if (settings.control != Endpoint()) {
+    auto server = HostServer::Open(loop, settings.control, process);
+    if (!server) return tl::unexpected(server.error());
+    control = std::move(*server);
+  }
+  process.Run();
+  return {};
+}
+
+int Run(const Options& options, const SteeringSettings& settings,
+        const SettingsFile& file) {
+  StartLog(options.log_level);
+  signal(SIGTERM, OnSignal);
+  signal(SIGINT, OnSignal);
+  signal(SIGHUP, OnSignal);
+  signal(SIGPIPE, SIG_IGN);
+  const SteadyClock clock;
+  EventLoop loop(clock);
+  LoopScheduler scheduler(loop);
+  SeededRandom random(SystemSeed());
+  RateLimitedLog log(clock, [](const std::string& line) { LOG(INFO) << line; });
+  StoreClient store(loop, settings.store, kStoreTimeout);
+  const PlatformPacketCodec codec;
+  const ConfigurationDocument decoder;
+  const SteeringParts parts{loop,  scheduler, random, log,         store,
+                            codec, decoder,   file,   signal_flags};
+  std::unique_ptr<SteeringProcess> process;
+  if (options.balancer) {
+    process = std::make_unique<BalancerProcess>(
+        parts, settings, MakePlacement(options, settings.zone));
+  } else {
+    process = std::make_unique<AgentProcess>(parts, settings);
+  }
+  const auto served = Serve(*process, loop, settings);
+  if (served) return 0;
+  LOG(ERROR) << "daemon: " << served.error().message << ".";
+  return 1;
+}
+
+}  // namespace
+
+bool IsSteeringCommand(const std::vector<std::string>& arguments) {
+  return arguments.size() > 1 &&
+         (arguments[1] == kBalancerCommand || arguments[1] == kAgentCommand);
+}
+
+int RunSteeringCommand(const std::vector<std::string>& arguments) {
+  Options options;
+  CLI::App app("Steers packet flows on the users' platform.", "sesamesaddled");
+  app.require_subcommand(1);
+  CLI::App* balancer = app.add_subcommand(
+      kBalancerCommand, "Send clients' packets to the agents of their flows.");
+  CLI::App* agent =
+      app.add_subcommand(kAgentCommand, "Pass packets to and from a target.");
+  AddOptions(balancer, options);
+  AddOptions(agent, options);
+  balancer
+      ->add_option("--placement", options.placement,
+                   "least-wait, or hash: the baseline to compare with")
+      ->envname("SESAMESADDLE_PLACEMENT")
+      ->check(CLI::IsMember({"least-wait", "hash"}))
+      ->capture_default_str();
+  try {
+    std::vector<std::string> reversed(arguments.rbegin(), arguments.rend() - 1);
+    app.parse(reversed);
+  } catch (const CLI::CallForHelp&) {
+    fputs(app.help("", CLI::AppFormatMode::All).c_str(), stdout);
+    return 0;
+  } catch (const CLI::ParseError& error) {
+    fprintf(stderr, "sesamesaddled: %s\n", error.what());
+    return 2;
+  }
+  options.balancer = balancer->parsed();
+  const SettingsFile file(options.settings_path);
+  const auto settings = file.Read();
+  std::string fault =
+      settings ? MissingForRole(options, *settings) : settings.error();
+  if (!fault.empty()) {
+    fprintf(stderr, "sesamesaddled: %s\n", fault.c_str());
+    return 2;
+  }
+  if (options.check_only) {
+    puts("the settings are usable");
+    return 0;
+  }
+  return Run(options, *settings, file);
+}
+
+}  // namespace sesamesaddle
--- a/packages/net/src/udp_socket.cc
+++ b/packages/net/src/udp_socket.cc
@@ -1,11 +1,9 @@
 #include "net/udp_socket.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <array>
 #include <cerrno>
-#include <cstring>
+
+#include "net/bind_udp.h"
 
 namespace sesamesaddle {
 namespace {
@@ -19,21 +17,9 @@
 
 tl::expected<std::unique_ptr<UdpSocket>, NetError> UdpSocket::Open(
     EventLoop& loop, const Endpoint& local, Receiver receiver) {
-  const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) {
-    return tl::unexpected(NetError{std::string("socket: ") + strerror(errno)});
-  }
-  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
-             sizeof(kReceiveBufferBytes));
-  const sockaddr_in address = local.ToSockaddr();
-  if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
-      0) {
-    const std::string reason = strerror(errno);
-    close(fd);
-    return tl::unexpected(
-        NetError{"bind UDP " + local.ToString() + ": " + reason});
-  }
-  return std::make_unique<UdpSocket>(loop, fd, std::move(receiver));
+  const auto fd = BindUdp(local, kReceiveBufferBytes);
+  if (!fd) return tl::unexpected(fd.error());
+  return std::make_unique<UdpSocket>(loop, *fd, std::move(receiver));
 }
 
 UdpSocket::UdpSocket(EventLoop& loop, int fd, Receiver receiver)
--- /dev/null
+++ b/packages/registry/include/registry/replica_follower.h
@@ -0,0 +1,107 @@
+#ifndef SESAMESADDLE_REGISTRY_REPLICA_FOLLOWER_H_
+#define SESAMESADDLE_REGISTRY_REPLICA_FOLLOWER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/event_log.h"
+#include "core/random.h"
+#include "core/scheduler.h"
+#include "steering_types.h"
+#include "store/store.h"
+
+namespace sesamesaddle {
+
+/** Told of what the replica learns. */
+class ReplicaListener {
+ public:
+  virtual ~ReplicaListener() = default;
+
+  /** The operators' document, when it changes. */
+  virtual void OnConfiguration(const std::string& document,
+                               int64_t revision) = 0;
+  virtual void OnEntry(const std::string& key, const std::string& value,
+                       int64_t revision) = 0;
+  virtual void OnEntryRemoved(const std::string& key, int64_t revision) = 0;
+};
+
+/** Where things stand in the store. */
+struct ReplicaKeys {
+  std::string configuration;
+  std::string directory_prefix;
+};
+
+/** Times of following the store. */
+struct FollowerTimes {
+  /** A waiting watch; one that went silent is noticed after it. */
+  Duration watch = std::chrono::seconds(3);
+  /** Changes that come close together are fetched together. */
+  Duration gather = std::chrono::milliseconds(100);
+  Duration first_retry = std::chrono::milliseconds(200);
+  Duration last_retry = std::chrono::seconds(1);
+};
+
+/**
+ * Keeps a copy of the configuration and of the directory: from the store by
+ * one watch, and from a peer that is ahead while the store does not answer.
+ * What it holds never goes back to an earlier revision.
+ */
+class ReplicaFollower {
+ public:
+  ReplicaFollower(Store& store, Scheduler& scheduler, RandomSource& random,
+                  EventLog& log, ReplicaKeys keys, FollowerTimes times,
+                  ReplicaListener& listener);
+
+  void Start() { List(); }
+  /** Takes a peer's copy if it is ahead. */
+  void TakeSnapshot(const schema::ReplicaSnapshot& snapshot);
+  /** @return the copy for a peer. */
+  schema::ReplicaSnapshot Snapshot() const;
+
+  /** Whether the store was read, or a peer's copy taken, at least once. */
+  bool loaded() const { return directory_revision_ > 0; }
+  /** Whether the last call to the store succeeded. */
+  bool current() const { return loaded() && !store_failed_; }
+  int64_t directory_revision() const { return directory_revision_; }
+  int64_t configuration_revision() const { return configuration_revision_; }
+  /** Since when the store has not answered; meaningful if not current. */
+  TimePoint failed_since() const { return failed_since_; }
+
+ private:
+  void List();
+  void Watch();
+  void OnListed(const schema::KeyValueList& list);
+  void Take(const schema::KeyValue& item);
+  void TakeConfiguration(const std::string& document, int64_t revision);
+  void TakeEntry(const std::string& key, const std::string& value,
+                 int64_t revision);
+  void RemoveEntry(const std::string& key, int64_t revision);
+  void RemoveMissing(const std::map<std::string, int64_t>& present,
+                     int64_t as_of);
+  bool OfDirectory(const std::string& key) const;
+  void OnFailure(StoreError error);
+  void OnAnswer();
+
+  Store& store_;
+  Scheduler& scheduler_;
+  RandomSource& random_;
+  EventLog& log_;
+  ReplicaKeys keys_;
+  FollowerTimes times_;
+  ReplicaListener& listener_;
+  std::string configuration_;
+  int64_t configuration_revision_ = 0;
+  std::map<std::string, schema::ReplicaEntry> entries_;
+  /** Revisions of removals, so that older writes don't bring entries back. */
+  std::map<std::string, int64_t> removed_;
+  int64_t directory_revision_ = 0;
+  bool list_needed_ = true;
+  bool store_failed_ = false;
+  TimePoint failed_since_{};
+  Duration backoff_{};
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_REGISTRY_REPLICA_FOLLOWER_H_
--- /dev/null
+++ b/packages/registry/src/replica_follower.cc
@@ -0,0 +1,191 @@
+#include "registry/replica_follower.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace sesamesaddle {
+namespace {
+
+constexpr char kPart[] = "replica";
+// Removals are remembered for the writes that may still come in before them.
+constexpr size_t kMaxRemoved = 10000;
+// Everything: one watch then covers the configuration and the directory.
+constexpr char kWholeStore[] = "";
+
+}  // namespace
+
+ReplicaFollower::ReplicaFollower(Store& store, Scheduler& scheduler,
+                                 RandomSource& random, EventLog& log,
+                                 ReplicaKeys keys, FollowerTimes times,
+                                 ReplicaListener& listener)
+    : store_(store),
+      scheduler_(scheduler),
+      random_(random),
+      log_(log),
+      keys_(std::move(keys)),
+      times_(times),
+      listener_(listener) {}
+
+bool ReplicaFollower::OfDirectory(const std::string& key) const {
+  return key.compare(0, keys_.directory_prefix.size(),
+                     keys_.directory_prefix) == 0;
+}
+
+void ReplicaFollower::List() {
+  list_needed_ = true;
+  store_.List(kWholeStore, [this](auto list) {
+    if (!list) {
+      OnFailure(list.error());
+      return;
+    }
+    list_needed_ = false;
+    OnListed(*list);
+    OnAnswer();
+    Watch();
+  });
+}
+
+void ReplicaFollower::OnListed(const schema::KeyValueList& list) {
+  std::map<std::string, int64_t> present;
+  for (const schema::KeyValue& item : list.items) {
+    if (OfDirectory(item.key)) present[item.key] = item.version;
+    Take(item);
+  }
+  RemoveMissing(present, list.revision);
+  directory_revision_ = std::max(directory_revision_, list.revision);
+}
+
+void ReplicaFollower::RemoveMissing(
+    const std::map<std::string, int64_t>& present, int64_t as_of) {
+  std::vector<std::string> missing;
+  for (const auto& [key, entry] : entries_) {
+    if (present.count(key) == 0 && entry.revision <= as_of) {
+      missing.push_back(key);
+    }
+  }
+  for (const std::string& key : missing) RemoveEntry(key, as_of);
+}
+
+void ReplicaFollower::Watch() {
+  store_.Watch(
+      kWholeStore, directory_revision_, times_.watch, [this](auto changes) {
+        if (!changes) {
+          if (changes.error() == StoreError::kHistoryGone) {
+            list_needed_ = true;
+          }
+          OnFailure(changes.error());
+          return;
+        }
+        for (const schema::KeyValue& item : changes->items) {
+          Take(item);
+        }
+        directory_revision_ = std::max(directory_revision_, changes->revision);
+        OnAnswer();
+        if (changes->items.empty()) {
+          Watch();
+          return;
+        }
+        scheduler_.After(times_.gather, [this] { Watch(); });
+      });
+}
+
+void ReplicaFollower::Take(const schema::KeyValue& item) {
+  if (item.key == keys_.configuration) {
+    if (!item.deleted) TakeConfiguration(item.value, item.version);
+  } else if (!OfDirectory(item.key)) {
+    return;
+  } else if (item.deleted) {
+    RemoveEntry(item.key, item.version);
+  } else {
+    TakeEntry(item.key, item.value, item.version);
+  }
+}
+
+void ReplicaFollower::TakeConfiguration(const std::string& document,
+                                        int64_t revision) {
+  if (revision <= configuration_revision_) return;
+  configuration_ = document;
+  configuration_revision_ = revision;
+  listener_.OnConfiguration(document, revision);
+}
+
+void ReplicaFollower::TakeEntry(const std::string& key,
+                                const std::string& value, int64_t revision) {
+  const auto removed = removed_.find(key);
+  if (removed != removed_.end() && revision <= removed->second) return;
+  schema::ReplicaEntry& entry = entries_[key];
+  if (revision <= entry.revision) return;
+  entry.key = key;
+  entry.value = value;
+  entry.revision = revision;
+  listener_.OnEntry(key, value, revision);
+}
+
+void ReplicaFollower::RemoveEntry(const std::string& key, int64_t revision) {
+  const auto it = entries_.find(key);
+  if (it == entries_.end() || revision < it->second.revision) return;
+  entries_.erase(it);
+  if (removed_.size() >= kMaxRemoved) removed_.clear();
+  removed_[key] = revision;
+  listener_.OnEntryRemoved(key, revision);
+}
+
+void ReplicaFollower::TakeSnapshot(const schema::ReplicaSnapshot& snapshot) {
+  if (snapshot.version.configuration_revision > configuration_revision_) {
+    TakeConfiguration(snapshot.configuration,
+                      snapshot.version.configuration_revision);
+  }
+  if (snapshot.version.directory_revision <= directory_revision_) return;
+  std::map<std::string, int64_t> present;
+  for (const auto& entry : snapshot.entries) {
+    present[entry.key] = entry.revision;
+    TakeEntry(entry.key, entry.value, entry.revision);
+  }
+  RemoveMissing(present, snapshot.version.directory_revision);
+  LogLine(log_, EventKind::kBelief, kPart, "copied-from-peer")
+      .Add("from_revision", directory_revision_)
+      .Add("to_revision", snapshot.version.directory_revision)
+      .Add("entries", entries_.size());
+  directory_revision_ = snapshot.version.directory_revision;
+}
+
+schema::ReplicaSnapshot ReplicaFollower::Snapshot() const {
+  schema::ReplicaSnapshot snapshot;
+  snapshot.version.directory_revision = directory_revision_;
+  snapshot.version.configuration_revision = configuration_revision_;
+  snapshot.configuration = configuration_;
+  for (const auto& [key, entry] : entries_) snapshot.entries.push_back(entry);
+  return snapshot;
+}
+
+void ReplicaFollower::OnFailure(StoreError error) {
+  if (!store_failed_) {
+    failed_since_ = scheduler_.Now();
+    LogLine(log_, EventKind::kDependency, kPart, "store-lost")
+        .Add("reason", Describe(error))
+        .Add("revision", directory_revision_);
+  }
+  store_failed_ = true;
+  backoff_ =
+      std::min(times_.last_retry, std::max(times_.first_retry, backoff_ * 2));
+  const auto spread = static_cast<uint64_t>(backoff_.count() / 2);
+  scheduler_.After(backoff_ / 2 + Duration(random_.Below(spread)), [this] {
+    if (list_needed_) {
+      List();
+    } else {
+      Watch();
+    }
+  });
+}
+
+void ReplicaFollower::OnAnswer() {
+  backoff_ = Duration::zero();
+  if (!store_failed_) return;
+  store_failed_ = false;
+  LogLine(log_, EventKind::kDependency, kPart, "store-regained")
+      .Add("out", scheduler_.Now() - failed_since_)
+      .Add("revision", directory_revision_);
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/registry/tests/registry_test.cc
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/steering/include/steering/flow_agent.h
@@ -0,0 +1,194 @@
+#ifndef SESAMESADDLE_STEERING_FLOW_AGENT_H_
+#define SESAMESADDLE_STEERING_FLOW_AGENT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/endpoint.h"
+#include "core/event_log.h"
+#include "core/time.h"
+#include "steering/packet.h"
+#include "steering/target_health.h"
+#include "steering_types.h"
+
+namespace sesamesaddle {
+
+/** Sends what a FlowAgent decides to send. */
+class FlowAgentOutput {
+ public:
+  virtual ~FlowAgentOutput() = default;
+
+  virtual void ToTarget(std::string_view packet) = 0;
+  /** Straight to the client that the packet names; no balancer is passed. */
+  virtual void ToClient(const Endpoint& client, std::string_view packet) = 0;
+  /** A packet back to the balancer that sent it. */
+  virtual void ToBalancer(const Endpoint& balancer,
+                          std::string_view packet) = 0;
+  virtual void Report(const Endpoint& balancer,
+                      const schema::AgentReport& report) = 0;
+};
+
+/** What an agent is told at its start. */
+struct FlowAgentOptions {
+  Endpoint self;
+  /** The service of its target, as the settings name it. */
+  std::string service;
+  /** A flow older than this may be forgotten by everybody. */
+  Duration flow_lifetime = std::chrono::seconds(60);
+};
+
+/** Counts since the start of the process. */
+struct FlowAgentCounters {
+  int64_t packets_to_target = 0;
+  int64_t packets_to_clients = 0;
+  int64_t syns = 0;
+  int64_t accepted = 0;
+  int64_t refused = 0;
+  int64_t returned_by_target = 0;
+  int64_t not_held = 0;
+  int64_t wrong_service = 0;
+  int64_t resets = 0;
+  int64_t malformed = 0;
+  int64_t reports = 0;
+};
+
+/** Observes durations for the metrics. */
+class DurationObserver {
+ public:
+  virtual ~DurationObserver() = default;
+  virtual void Observe(Duration duration) = 0;
+};
+
+/**
+ * Decisions of the agent beside a target. It passes packets between balancers,
+ * its target and clients, and knows from them which flows its target holds and
+ * how much work it has. The target has the last word: it returns what it does
+ * not hold.
+ */
+class FlowAgent {
+ public:
+  /** Time between reports to a balancer that sends packets. */
+  static constexpr Duration kReportPeriod = std::chrono::milliseconds(50);
+  /** Time in which urgent reports are gathered. */
+  static constexpr Duration kUrgentReportDelay = std::chrono::milliseconds(2);
+  /** A balancer that was silent for longer gets no reports. */
+  static constexpr Duration kBalancerIdle = std::chrono::milliseconds(1500);
+  /** An opened flow without a request counts as work for so long. */
+  static constexpr Duration kRequestExpected = std::chrono::milliseconds(300);
+  /** A flow that has ended is remembered for late packets. */
+  static constexpr Duration kEndedLinger = std::chrono::seconds(4);
+  /** Largest number of flows a report names in each list. */
+  static constexpr size_t kMaxFlowsPerReport = 40;
+
+  FlowAgent(FlowAgentOptions options, const PacketCodec& codec,
+            FlowAgentOutput& output, EventLog& log,
+            DurationObserver& response_times);
+
+  /** A packet from a balancer. @param packet  is changed in place */
+  void OnBalancerPacket(TimePoint now, const Endpoint& balancer, char* packet,
+                        size_t size);
+  /** A packet that the target sent or sent back. */
+  void OnTargetPacket(TimePoint now, char* packet, size_t size);
+  AnnouncementEffect OnAnnouncement(TimePoint now,
+                                    const TargetAnnouncement& announcement);
+  /** @return whether the target that ends is the present one. */
+  bool OnDeregister(TimePoint now, const std::string& id);
+  void OnTargetUnreachable(TimePoint now) { health_.OnUnreachable(now); }
+  /** Sends reports and forgets old flows; call it every kReportPeriod. */
+  void OnTick(TimePoint now);
+  /** From now on no new flows are taken; the target may go on. */
+  void BeginStop() { stopping_ = true; }
+
+  const TargetHealth& health() const { return health_; }
+  const std::string& service() const;
+  const FlowAgentCounters& counters() const { return counters_; }
+  size_t flow_count() const { return flows_.size(); }
+  int waiting() const { return waiting_; }
+  /** Whether a balancer is owed a report. */
+  bool busy() const { return !balancers_.empty(); }
+  /** Whether a report should not wait for the period to end. */
+  bool urgent() const { return urgent_; }
+
+ private:
+  enum class FlowState : uint8_t { kOpening, kOpen, kEnded };
+  struct FlowEntry {
+    FlowState state = FlowState::kOpening;
+    bool sequence_known = false;
+    bool waiting = false;
+    bool requested = false;
+    bool client_ended = false;
+    bool target_ended = false;
+    uint32_t target_sequence = 0;
+    uint32_t client_acknowledged = 0;
+    uint32_t client_sequence = 0;
+    TimePoint opened{};
+    TimePoint last_packet{};
+    TimePoint waiting_since{};
+    Endpoint balancer;
+  };
+  struct BalancerView {
+    TimePoint last_packet{};
+    TimePoint last_report{};
+    bool packets_since_report = false;
+    int reported_waiting = 0;
+    std::vector<Flow> accepted;
+    std::vector<Flow> held;
+    std::vector<Flow> not_held;
+  };
+  using FlowMap = std::unordered_map<Flow, FlowEntry>;
+
+  void OnSyn(TimePoint now, const Endpoint& balancer, const PacketHead& head,
+             char* packet, size_t size);
+  void OnData(TimePoint now, const Endpoint& balancer, const PacketHead& head,
+              char* packet, size_t size);
+  void Deliver(TimePoint now, const PacketHead& head, FlowEntry* entry,
+               const Endpoint& balancer, char* packet, size_t size);
+  void OnReturned(TimePoint now, const PacketHead& head, char* packet,
+                  size_t size);
+  void Refuse(TimePoint now, const Endpoint& balancer, const Flow& flow,
+              std::string_view reason, char* packet, size_t size);
+  void AnswerNotHeld(TimePoint now, const Endpoint& balancer, const Flow& flow,
+                     bool offered, char* packet, size_t size);
+  void ResetFlow(const Flow& flow, const FlowEntry& entry,
+                 std::string_view reason);
+  void ResetAll(std::string_view reason);
+  void NoteClientPacket(TimePoint now, const PacketHead& head,
+                        FlowEntry& entry);
+  void NoteAnswer(TimePoint now, FlowEntry& entry);
+  void StopWaiting(FlowEntry& entry);
+  void Erase(FlowMap::iterator it);
+  bool KnowsAllFlows(TimePoint now) const;
+  BalancerView& Touch(TimePoint now, const Endpoint& balancer);
+  /** As Touch; the balancer's report goes out soon. */
+  BalancerView& TouchUrgently(TimePoint now, const Endpoint& balancer);
+  uint32_t MakeEcho(const Endpoint& balancer, bool offered);
+  Endpoint BalancerOfEcho(uint32_t echo, bool& offered) const;
+  void SendReport(TimePoint now, const Endpoint& balancer, BalancerView& view);
+  void ForgetOldFlows(TimePoint now);
+
+  FlowAgentOptions options_;
+  const PacketCodec& codec_;
+  FlowAgentOutput& output_;
+  EventLog& log_;
+  DurationObserver& response_times_;
+  TargetHealth health_;
+  FlowAgentCounters counters_;
+  FlowMap flows_;
+  std::unordered_map<Endpoint, BalancerView> balancers_;
+  /** Balancers by the index that an echo names. */
+  std::vector<Endpoint> echo_balancers_;
+  TimePoint started_{};
+  TimePoint next_sweep_{};
+  int waiting_ = 0;
+  int opening_ = 0;
+  Duration response_{};
+  bool stopping_ = false;
+  bool urgent_ = false;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STEERING_FLOW_AGENT_H_
--- /dev/null
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -0,0 +1,147 @@
+#ifndef SESAMESADDLE_STEERING_FLOW_BALANCER_H_
+#define SESAMESADDLE_STEERING_FLOW_BALANCER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/endpoint.h"
+#include "core/event_log.h"
+#include "core/time.h"
+#include "steering/flow_prober.h"
+#include "steering/packet.h"
+#include "steering/placement.h"
+#include "steering/route_table.h"
+#include "steering/target_directory.h"
+#include "steering_types.h"
+
+namespace sesamesaddle {
+
+/** Sends what a FlowBalancer decides to send. */
+class FlowBalancerOutput {
+ public:
+  virtual ~FlowBalancerOutput() = default;
+
+  virtual void ToAgent(const Endpoint& agent, std::string_view packet) = 0;
+  virtual void ToClient(const Endpoint& client, std::string_view packet) = 0;
+};
+
+/** Counts since the start of the process. */
+struct FlowBalancerCounters {
+  int64_t packets = 0;
+  int64_t syns = 0;
+  int64_t placed = 0;
+  int64_t placed_again = 0;
+  int64_t refused_by_agents = 0;
+  int64_t offers = 0;
+  int64_t searches = 0;
+  int64_t resets_no_route = 0;
+  int64_t resets_no_target = 0;
+  int64_t resets_nobody_holds = 0;
+  int64_t resets_target_gone = 0;
+  int64_t resets_target_silent = 0;
+  int64_t malformed = 0;
+};
+
+/**
+ * Decisions of a balancer: which target gets a new flow, and which one a packet
+ * of an open flow belongs to. What it remembers of flows is a cache; agents and
+ * targets have the truth, and a flow it does not know is looked up.
+ */
+class FlowBalancer : private FlowProberOutput {
+ public:
+  /** A SYN that no target has accepted is placed again after this time. */
+  static constexpr Duration kAcceptTime = std::chrono::milliseconds(70);
+  /** A SYN without any usable target waits so long for one. */
+  static constexpr Duration kTargetWait = std::chrono::milliseconds(400);
+  /** Targets that one SYN is sent to at most, without refusals. */
+  static constexpr size_t kMaxTargetsPerSyn = 3;
+
+  FlowBalancer(std::string zone, const PacketCodec& codec,
+               TargetDirectory& directory, PlacementPolicy& placement,
+               FlowBalancerOutput& output, EventLog& log);
+
+  /** A packet from a client. @param packet  is changed in place */
+  void OnClientPacket(TimePoint now, char* packet, size_t size);
+  /** A packet that an agent sent back. */
+  void OnAgentPacket(TimePoint now, const Endpoint& agent, char* packet,
+                     size_t size);
+  void OnReport(TimePoint now, const schema::AgentReport& report);
+  /** Takes a later version; flows of dropped routes are reset. */
+  void Apply(TimePoint now, RouteTable routes);
+  /** Agents that the directory has dropped. */
+  void OnAgentsGone(TimePoint now, const std::vector<Endpoint>& agents);
+  /** Retries and forgets; call it often while `busy`. */
+  void OnTick(TimePoint now);
+  /**
+   * Whether the configuration and the directory follow the store; a route that
+   * is missing proves nothing otherwise.
+   */
+  void SetCurrent(bool current) { current_ = current; }
+
+  const RouteTable& routes() const { return routes_; }
+  const FlowBalancerCounters& counters() const { return counters_; }
+  size_t flow_count() const { return flows_.size(); }
+  /** Whether something waits for the next tick. */
+  bool busy() const { return !placing_.empty() || !prober_.idle(); }
+
+ private:
+  struct FlowEntry {
+    Endpoint agent;
+    /** The agent has confirmed that its target took the flow. */
+    bool accepted = false;
+    bool runs_once = false;
+    uint32_t acknowledged = 0;
+    uint32_t syn_sequence = 0;
+    TimePoint last_packet{};
+    /** All agents that got the SYN, while more than one did. */
+    std::vector<Endpoint> tried;
+  };
+  /** A SYN that no target has accepted yet. */
+  struct Placing {
+    std::string packet;
+    std::vector<Endpoint> refused;
+    TimePoint arrived{};
+    TimePoint retry_at{};
+  };
+  using FlowMap = std::unordered_map<Flow, FlowEntry>;
+
+  void OnSyn(TimePoint now, const Flow& flow, const PacketHead& head,
+             std::string_view packet);
+  void OnData(TimePoint now, const Flow& flow, const PacketHead& head,
+              char* packet, size_t size);
+  void Place(TimePoint now, const Flow& flow, const Route& route,
+             Placing& placing);
+  void Forward(TimePoint now, AgentView& agent, char* packet, size_t size);
+  void StartSearch(TimePoint now, const Flow& flow, const PacketHead& head,
+                   std::string_view packet, const std::vector<Endpoint>& likely,
+                   const std::vector<Endpoint>& denied);
+  void OnHolderFound(TimePoint now, const Flow& flow, AgentView& agent);
+  void Reset(const Flow& flow, uint32_t acknowledged, std::string_view reason);
+  void Offer(TimePoint now, AgentView& agent, const Flow& flow,
+             std::string packet) override;
+  void OnNobodyHolds(TimePoint now, const Flow& flow,
+                     uint32_t acknowledged) override;
+  void RetryPlacements(TimePoint now);
+  void ForgetOldFlows(TimePoint now);
+
+  std::string zone_;
+  const PacketCodec& codec_;
+  TargetDirectory& directory_;
+  PlacementPolicy& placement_;
+  FlowBalancerOutput& output_;
+  EventLog& log_;
+  FlowProber prober_;
+  RouteTable routes_;
+  bool current_ = false;
+  FlowMap flows_;
+  std::unordered_map<Flow, Placing> placing_;
+  TimePoint next_sweep_{};
+  FlowBalancerCounters counters_;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STEERING_FLOW_BALANCER_H_
--- /dev/null
+++ b/packages/steering/include/steering/flow_prober.h
@@ -0,0 +1,94 @@
+#ifndef SESAMESADDLE_STEERING_FLOW_PROBER_H_
+#define SESAMESADDLE_STEERING_FLOW_PROBER_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/endpoint.h"
+#include "core/time.h"
+#include "steering/packet.h"
+#include "steering/target_directory.h"
+
+namespace sesamesaddle {
+
+/** What the prober wants done about a flow whose target is not known. */
+class FlowProberOutput {
+ public:
+  virtual ~FlowProberOutput() = default;
+
+  /** Deliver the packet at that agent only if its target holds the flow. */
+  virtual void Offer(TimePoint now, AgentView& agent, const Flow& flow,
+                     std::string packet) = 0;
+  /** Every target that could hold the flow has said that it does not. */
+  virtual void OnNobodyHolds(TimePoint now, const Flow& flow,
+                             uint32_t acknowledged) = 0;
+};
+
+/**
+ * Looks for the target that holds a flow. It offers the flow's packets to the
+ * most likely agents first and to further ones when those do not answer, and it
+ * concludes that nobody holds the flow only from the answers of all of them.
+ */
+class FlowProber {
+ public:
+  /** Time for an offer and its answer, between zones. */
+  static constexpr Duration kRoundTime = std::chrono::milliseconds(20);
+  /** Largest number of agents that one round asks. */
+  static constexpr size_t kAgentsPerRound = 32;
+  /** Packets of one flow that wait for the answer; later ones are dropped. */
+  static constexpr size_t kMaxHeldPackets = 16;
+  /** A search without an end is given up; the client repeats its packet. */
+  static constexpr Duration kSearchLimit = std::chrono::seconds(2);
+
+  FlowProber(std::string zone, TargetDirectory& directory,
+             FlowProberOutput& output)
+      : zone_(std::move(zone)), directory_(directory), output_(output) {}
+
+  /**
+   * Starts a search, or adds a packet to one in progress.
+   * @param likely    agents to ask first; chosen by the flow's hash if empty
+   * @param services  services that the flow's route leads to
+   * @param denied    agents that are known not to hold the flow
+   */
+  void Search(TimePoint now, const Flow& flow, const PacketHead& head,
+              std::string packet, const std::vector<std::string>& services,
+              const std::vector<Endpoint>& likely,
+              const std::vector<Endpoint>& denied);
+  /** @return the packets that wait for the holder; the search is over. */
+  std::vector<std::string> Found(const Flow& flow);
+  /** An agent does not hold the flow. */
+  void OnNotHeld(TimePoint now, const Flow& flow, const Endpoint& agent);
+  /** Starts due rounds. */
+  void OnTick(TimePoint now);
+
+  bool idle() const { return searches_.empty(); }
+  size_t size() const { return searches_.size(); }
+
+ private:
+  struct Pursuit {
+    std::vector<std::string> packets;
+    std::vector<std::string> services;
+    std::set<Endpoint> asked;
+    std::set<Endpoint> denied;
+    uint32_t acknowledged = 0;
+    TimePoint started{};
+    TimePoint next_round{};
+  };
+
+  void AskRound(TimePoint now, const Flow& flow, Pursuit& search,
+                const std::vector<AgentView*>& agents);
+  std::vector<AgentView*> NextAgents(const Flow& flow, const Pursuit& search);
+  bool AllDenied(const Pursuit& search);
+
+  std::string zone_;
+  TargetDirectory& directory_;
+  FlowProberOutput& output_;
+  std::unordered_map<Flow, Pursuit> searches_;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STEERING_FLOW_PROBER_H_
--- /dev/null
+++ b/packages/steering/include/steering/placement.h
@@ -0,0 +1,70 @@
+#ifndef SESAMESADDLE_STEERING_PLACEMENT_H_
+#define SESAMESADDLE_STEERING_PLACEMENT_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/endpoint.h"
+#include "core/time.h"
+#include "steering/target_directory.h"
+
+namespace sesamesaddle {
+
+/** What a choice of a target starts from. */
+struct PlacementRequest {
+  Flow flow;
+  /** Agents that refused this flow or did not answer for it. */
+  std::vector<Endpoint> excluded;
+};
+
+/** Chooses the target of a new flow. */
+class PlacementPolicy {
+ public:
+  virtual ~PlacementPolicy() = default;
+
+  /** @return the chosen agent, or null if none of them can take the flow. */
+  virtual AgentView* Choose(TimePoint now, const PlacementRequest& request,
+                            const std::vector<AgentView*>& agents) = 0;
+};
+
+/** Hash of the flow over the listed targets; the baseline to compare with. */
+class HashPlacement : public PlacementPolicy {
+ public:
+  AgentView* Choose(TimePoint now, const PlacementRequest& request,
+                    const std::vector<AgentView*>& agents) override;
+};
+
+/**
+ * The target with the shortest expected wait among the flow's candidates: those
+ * that hash highest for the flow, so that a balancer that did not place the
+ * flow knows where to look for it. All targets are compared only if every
+ * candidate has more work than slots.
+ */
+class LeastWaitPlacement : public PlacementPolicy {
+ public:
+  /** @param zone  the balancer's zone; targets there are preferred. */
+  explicit LeastWaitPlacement(std::string zone) : zone_(std::move(zone)) {}
+
+  AgentView* Choose(TimePoint now, const PlacementRequest& request,
+                    const std::vector<AgentView*>& agents) override;
+
+ private:
+  AgentView* Cheapest(TimePoint now, const PlacementRequest& request,
+                      const std::vector<AgentView*>& agents) const;
+  double Cost(TimePoint now, const AgentView& view, double usual_ms) const;
+
+  std::string zone_;
+};
+
+/**
+ * The agents most likely to hold the flow, best first: the two highest hashes
+ * in `zone` and the two highest of all.
+ */
+std::vector<AgentView*> FlowCandidates(const Flow& flow,
+                                       const std::string& zone,
+                                       const std::vector<AgentView*>& agents);
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STEERING_PLACEMENT_H_
--- /dev/null
+++ b/packages/steering/include/steering/target_directory.h
@@ -0,0 +1,101 @@
+#ifndef SESAMESADDLE_STEERING_TARGET_DIRECTORY_H_
+#define SESAMESADDLE_STEERING_TARGET_DIRECTORY_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/endpoint.h"
+#include "core/time.h"
+#include "steering_types.h"
+
+namespace sesamesaddle {
+
+/** What a balancer believes of one target and the agent beside it. */
+struct AgentView {
+  schema::TargetRecord record;
+  Endpoint agent;
+  uint16_t service_check = 0;
+  /** Revision of the store at which the record was written. */
+  int64_t revision = 0;
+  /** Whether the store's directory holds the record now. */
+  bool listed = true;
+  TimePoint unlisted_since{};
+  TimePoint listed_since{};
+
+  int waiting = 0;
+  int opening = 0;
+  int flows = 0;
+  Duration response{};
+  /** Flows that this balancer placed there since the last report. */
+  int placed_since_report = 0;
+  TimePoint last_report{};
+  bool reported = false;
+  bool restarting = false;
+  /** A SYN was refused; the agent is asked again after this time. */
+  TimePoint refuses_until{};
+  /** The first packet sent since the last report, if any was. */
+  TimePoint unanswered_since{};
+  bool unanswered = false;
+};
+
+/** The targets that a balancer knows, from the store and from reports. */
+class TargetDirectory {
+ public:
+  /**
+   * An entry that vanished from the store is gone after this time unless it is
+   * back (a lease may be lost while its holder lives: bound of the platform).
+   */
+  static constexpr Duration kUnlistedLimit = std::chrono::milliseconds(2500);
+  /** Agents report at least every 200 ms to those that send them packets. */
+  static constexpr Duration kSilenceLimit = std::chrono::milliseconds(600);
+
+  /** A target that answers nothing is asked again after this time. */
+  static constexpr Duration kSilentTargetPause = std::chrono::milliseconds(300);
+
+  /** Takes a record of the store; older revisions are ignored. */
+  void Put(TimePoint now, const std::string& key,
+           const schema::TargetRecord& record, int64_t revision);
+  /** The store's directory no longer holds the key. */
+  void Remove(TimePoint now, const std::string& key, int64_t revision);
+  /** Marks all entries that are not in `keys` as removed. */
+  void KeepOnly(TimePoint now, const std::vector<std::string>& keys,
+                int64_t revision);
+
+  /** @return the view of that agent, or null. */
+  AgentView* Find(const Endpoint& agent);
+  /** @return the agents of a service; valid until the next change. */
+  const std::vector<AgentView*>& OfService(const std::string& service);
+  std::vector<AgentView*> All();
+  size_t size() const { return agents_.size(); }
+
+  /** Takes a report, also of an agent whose entry is missing or older. */
+  void OnReport(TimePoint now, const schema::AgentReport& report);
+  /** A packet was sent to the agent. */
+  static void NoteSent(TimePoint now, AgentView& view);
+
+  /** Whether packets to the agent have stayed unanswered for too long. */
+  static bool Silent(TimePoint now, const AgentView& view);
+  /** Whether the target may be given new flows. */
+  static bool Usable(TimePoint now, const AgentView& view);
+
+  /**
+   * Drops entries that are gone for good.
+   * @param store_current  whether the store's directory is being followed; what
+   *                       is missing there proves nothing otherwise
+   * @return the agents dropped
+   */
+  std::vector<Endpoint> Expire(TimePoint now, bool store_current);
+
+ private:
+  void Reindex();
+
+  std::map<Endpoint, AgentView> agents_;
+  std::map<std::string, Endpoint> by_key_;
+  std::map<std::string, std::vector<AgentView*>> by_service_;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STEERING_TARGET_DIRECTORY_H_
--- /dev/null
+++ b/packages/steering/src/flow_agent.cc
@@ -0,0 +1,442 @@
+#include "steering/flow_agent.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sesamesaddle {
+namespace {
+
+constexpr char kPart[] = "agent";
+// An echo carries the index of the balancer and whether the packet was offered.
+constexpr uint32_t kOfferedBit = 1U << 31;
+constexpr uint32_t kEchoMark = 0x00a50000;
+constexpr uint32_t kEchoMarkMask = 0x00ff0000;
+constexpr size_t kMaxEchoBalancers = 0xffff;
+// Weight of the newest response time in the moving average.
+constexpr int kResponseShare = 8;
+constexpr Duration kSweepPeriod = std::chrono::seconds(1);
+// A flow whose target answered the SYN and whose client did not go on.
+constexpr Duration kOpeningLimit = std::chrono::seconds(3);
+
+Flow ClientFlow(const PacketHead& head) {
+  return {head.source, head.destination};
+}
+
+Flow TargetFlow(const PacketHead& head) {
+  return {head.destination, head.source};
+}
+
+schema::FlowKey ToKey(const Flow& flow) {
+  schema::FlowKey key;
+  key.caller = flow.caller.Pack();
+  key.service_address = flow.service.Pack();
+  return key;
+}
+
+std::vector<schema::FlowKey> TakeKeys(std::vector<Flow>& flows, size_t limit) {
+  std::vector<schema::FlowKey> keys;
+  const size_t count = std::min(flows.size(), limit);
+  for (size_t i = 0; i < count; ++i) keys.push_back(ToKey(flows[i]));
+  flows.erase(flows.begin(), flows.begin() + static_cast<long>(count));
+  return keys;
+}
+
+/** Whether sequence number `a` is later than `b`, modulo 2^32. */
+bool After(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
+
+}  // namespace
+
+FlowAgent::FlowAgent(FlowAgentOptions options, const PacketCodec& codec,
+                     FlowAgentOutput& output, EventLog& log,
+                     DurationObserver& response_times)
+    : options_(std::move(options)),
+      codec_(codec),
+      output_(output),
+      log_(log),
+      response_times_(response_times) {}
+
+const std::string& FlowAgent::service() const {
+  return health_.known() ? health_.announcement().service : options_.service;
+}
+
+void FlowAgent::OnBalancerPacket(TimePoint now, const Endpoint& balancer,
+                                 char* packet, size_t size) {
+  if (started_ == TimePoint()) started_ = now;
+  const auto head = codec_.Decode(std::string_view(packet, size));
+  if (!head || (head->tag.kind != HopKind::kDirect &&
+                head->tag.kind != HopKind::kOffer)) {
+    ++counters_.malformed;
+    return;
+  }
+  Touch(now, balancer).packets_since_report = true;
+  const bool offered = head->tag.kind == HopKind::kOffer;
+  if (head->tag.service_check != ServiceCheck(service())) {
+    ++counters_.wrong_service;
+    if (head->syn) {
+      Refuse(now, balancer, ClientFlow(*head), "other-service", packet, size);
+    } else {
+      AnswerNotHeld(now, balancer, ClientFlow(*head), offered, packet, size);
+    }
+    return;
+  }
+  if (head->syn) {
+    OnSyn(now, balancer, *head, packet, size);
+  } else {
+    OnData(now, balancer, *head, packet, size);
+  }
+}
+
+void FlowAgent::OnSyn(TimePoint now, const Endpoint& balancer,
+                      const PacketHead& head, char* packet, size_t size) {
+  ++counters_.syns;
+  const Flow flow = ClientFlow(head);
+  if (stopping_ || !health_.TakesFlows(now)) {
+    const char* reason = stopping_             ? "agent-stopping"
+                         : !health_.known()    ? "target-unknown"
+                         : health_.Silent(now) ? "target-silent"
+                                               : "target-leaving";
+    Refuse(now, balancer, flow, reason, packet, size);
+    return;
+  }
+  const auto [it, added] = flows_.try_emplace(flow);
+  FlowEntry& entry = it->second;
+  const bool copy = !added && entry.state == FlowState::kOpening &&
+                    entry.client_sequence == head.sequence;
+  if (!copy) {
+    // A client's port that is used again names a new flow.
+    StopWaiting(entry);
+    if (!added && entry.state == FlowState::kOpening) --opening_;
+    entry = FlowEntry();
+    entry.client_sequence = head.sequence;
+    entry.opened = now;
+    ++opening_;
+  }
+  entry.last_packet = now;
+  entry.balancer = balancer;
+  health_.OnDelivered(now);
+  codec_.SetHop(packet, HopTag(), MakeEcho(balancer, false));
+  ++counters_.packets_to_target;
+  output_.ToTarget(std::string_view(packet, size));
+}
+
+void FlowAgent::OnData(TimePoint now, const Endpoint& balancer,
+                       const PacketHead& head, char* packet, size_t size) {
+  const Flow flow = ClientFlow(head);
+  const bool offered = head.tag.kind == HopKind::kOffer;
+  const auto it = flows_.find(flow);
+  if (it == flows_.end()) {
+    if (health_.gone() || KnowsAllFlows(now)) {
+      AnswerNotHeld(now, balancer, flow, offered, packet, size);
+      return;
+    }
+    // Started after its target: only the target knows.
+    Deliver(now, head, nullptr, balancer, packet, size);
+    return;
+  }
+  FlowEntry& entry = it->second;
+  if (entry.state == FlowState::kOpening) {
+    const uint32_t ahead = head.acknowledged - entry.target_sequence;
+    if (!entry.sequence_known || ahead > 1) {
+      // The client opened the flow at another target.
+      AnswerNotHeld(now, balancer, flow, offered, packet, size);
+      return;
+    }
+    entry.state = FlowState::kOpen;
+    entry.opened = now;
+    --opening_;
+    LogLine(log_, EventKind::kOpened, kPart, "flow-opened")
+        .Add("flow", flow)
+        .Add("service", service())
+        .Add("target", health_.announcement().id)
+        .Add("balancer", balancer)
+        .Add("waiting", waiting_);
+  }
+  if (offered || entry.balancer != balancer) {
+    TouchUrgently(now, balancer).held.push_back(flow);
+  }
+  entry.balancer = balancer;
+  Deliver(now, head, &entry, balancer, packet, size);
+}
+
+void FlowAgent::Deliver(TimePoint now, const PacketHead& head, FlowEntry* entry,
+                        const Endpoint& balancer, char* packet, size_t size) {
+  if (entry != nullptr) NoteClientPacket(now, head, *entry);
+  if (head.payload_bytes > 0) health_.OnDelivered(now);
+  const bool offered = head.tag.kind == HopKind::kOffer;
+  codec_.SetHop(packet, HopTag(), MakeEcho(balancer, offered));
+  ++counters_.packets_to_target;
+  output_.ToTarget(std::string_view(packet, size));
+}
+
+void FlowAgent::NoteClientPacket(TimePoint now, const PacketHead& head,
+                                 FlowEntry& entry) {
+  entry.last_packet = now;
+  entry.client_acknowledged = head.acknowledged;
+  if (head.reset) {
+    entry.state = FlowState::kEnded;
+    StopWaiting(entry);
+    return;
+  }
+  entry.client_ended = entry.client_ended || head.fin;
+  const uint32_t end = head.sequence + head.payload_bytes;
+  if (head.payload_bytes == 0 || !After(end, entry.client_sequence)) return;
+  entry.client_sequence = end;
+  entry.requested = true;
+  if (entry.waiting) return;
+  entry.waiting = true;
+  entry.waiting_since = now;
+  ++waiting_;
+}
+
+void FlowAgent::OnTargetPacket(TimePoint now, char* packet, size_t size) {
+  if (started_ == TimePoint()) started_ = now;
+  const auto head = codec_.Decode(std::string_view(packet, size));
+  if (!head) {
+    ++counters_.malformed;
+    return;
+  }
+  health_.OnHeard(now);
+  if (head->returned) {
+    OnReturned(now, *head, packet, size);
+    return;
+  }
+  const Flow flow = TargetFlow(*head);
+  const auto [it, added] = flows_.try_emplace(flow);
+  FlowEntry& entry = it->second;
+  const bool syn_answer = head->syn;
+  if (added) {
+    // A flow from before this process started.
+    entry.opened = now;
+    entry.state = syn_answer ? FlowState::kOpening : FlowState::kOpen;
+    if (syn_answer) ++opening_;
+  }
+  entry.last_packet = now;
+  if (syn_answer && entry.state == FlowState::kOpening) {
+    const bool first = !entry.sequence_known;
+    entry.sequence_known = true;
+    entry.target_sequence = head->sequence;
+    if (first && entry.balancer != Endpoint()) {
+      ++counters_.accepted;
+      Touch(now, entry.balancer).accepted.push_back(flow);
+    }
+  }
+  if (head->payload_bytes > 0) NoteAnswer(now, entry);
+  entry.target_ended = entry.target_ended || head->fin;
+  if (head->reset || (entry.target_ended && entry.client_ended)) {
+    StopWaiting(entry);
+    if (entry.state == FlowState::kOpening) --opening_;
+    entry.state = FlowState::kEnded;
+  }
+  ++counters_.packets_to_clients;
+  output_.ToClient(flow.caller, std::string_view(packet, size));
+}
+
+void FlowAgent::OnReturned(TimePoint now, const PacketHead& head, char* packet,
+                           size_t size) {
+  ++counters_.returned_by_target;
+  const Flow flow = ClientFlow(head);
+  bool offered = false;
+  const Endpoint balancer = BalancerOfEcho(head.echo, offered);
+  const auto it = flows_.find(flow);
+  if (head.syn) {
+    if (it != flows_.end() && it->second.state == FlowState::kOpening &&
+        !it->second.sequence_known) {
+      Erase(it);
+    }
+    if (balancer != Endpoint()) {
+      Refuse(now, balancer, flow, "target-full", packet, size);
+    }
+    return;
+  }
+  if (it == flows_.end()) {
+    if (balancer != Endpoint()) {
+      AnswerNotHeld(now, balancer, flow, offered, packet, size);
+    }
+    return;
+  }
+  if (it->second.state == FlowState::kEnded) return;
+  // The target held the flow and has lost it: it was started anew.
+  it->second.client_acknowledged = head.acknowledged;
+  ResetFlow(flow, it->second, "target-lost-flow");
+  Erase(it);
+}
+
+void FlowAgent::Refuse(TimePoint now, const Endpoint& balancer,
+                       const Flow& flow, std::string_view reason, char* packet,
+                       size_t size) {
+  ++counters_.refused;
+  LogLine(log_, EventKind::kRefused, kPart, "syn-refused")
+      .Add("flow", flow)
+      .Add("reason", reason)
+      .Add("service", service())
+      .Add("target", health_.announcement().id)
+      .Add("waiting", waiting_)
+      .Add("balancer", balancer);
+  TouchUrgently(now, balancer);
+  codec_.SetHop(packet, {HopKind::kRefused, ServiceCheck(service())}, 0);
+  output_.ToBalancer(balancer, std::string_view(packet, size));
+}
+
+void FlowAgent::AnswerNotHeld(TimePoint now, const Endpoint& balancer,
+                              const Flow& flow, bool offered, char* packet,
+                              size_t size) {
+  ++counters_.not_held;
+  if (offered) {
+    TouchUrgently(now, balancer).not_held.push_back(flow);
+    return;
+  }
+  codec_.SetHop(packet, {HopKind::kNotHeld, ServiceCheck(service())}, 0);
+  output_.ToBalancer(balancer, std::string_view(packet, size));
+}
+
+void FlowAgent::ResetFlow(const Flow& flow, const FlowEntry& entry,
+                          std::string_view reason) {
+  ++counters_.resets;
+  LogLine(log_, EventKind::kReset, kPart, "flow-reset")
+      .Add("flow", flow)
+      .Add("reason", reason)
+      .Add("service", service())
+      .Add("target", health_.announcement().id)
+      .Add("waiting", entry.waiting);
+  output_.ToClient(flow.caller,
+                   codec_.EncodeReset(flow, entry.client_acknowledged));
+}
+
+void FlowAgent::ResetAll(std::string_view reason) {
+  for (auto& [flow, entry] : flows_) {
+    if (entry.state == FlowState::kOpen) ResetFlow(flow, entry, reason);
+  }
+  flows_.clear();
+  waiting_ = 0;
+  opening_ = 0;
+}
+
+AnnouncementEffect FlowAgent::OnAnnouncement(
+    TimePoint now, const TargetAnnouncement& announcement) {
+  if (started_ == TimePoint()) started_ = now;
+  return health_.OnAnnouncement(now, announcement);
+}
+
+bool FlowAgent::OnDeregister(TimePoint /*now*/, const std::string& id) {
+  if (!health_.OnDeregister(id)) return false;
+  ResetAll("target-ended");
+  for (auto& [endpoint, view] : balancers_) view.packets_since_report = true;
+  urgent_ = true;
+  return true;
+}
+
+void FlowAgent::NoteAnswer(TimePoint now, FlowEntry& entry) {
+  if (!entry.waiting) return;
+  const Duration took = now - entry.waiting_since;
+  response_times_.Observe(took);
+  response_ = response_ == Duration::zero()
+                  ? took
+                  : response_ + (took - response_) / kResponseShare;
+  StopWaiting(entry);
+}
+
+void FlowAgent::StopWaiting(FlowEntry& entry) {
+  if (!entry.waiting) return;
+  entry.waiting = false;
+  --waiting_;
+}
+
+void FlowAgent::Erase(FlowMap::iterator it) {
+  StopWaiting(it->second);
+  if (it->second.state == FlowState::kOpening) --opening_;
+  flows_.erase(it);
+}
+
+bool FlowAgent::KnowsAllFlows(TimePoint now) const {
+  return now - started_ > options_.flow_lifetime;
+}
+
+FlowAgent::BalancerView& FlowAgent::Touch(TimePoint now,
+                                          const Endpoint& balancer) {
+  BalancerView& view = balancers_[balancer];
+  view.last_packet = now;
+  return view;
+}
+
+FlowAgent::BalancerView& FlowAgent::TouchUrgently(TimePoint now,
+                                                  const Endpoint& balancer) {
+  urgent_ = true;
+  BalancerView& view = Touch(now, balancer);
+  view.packets_since_report = true;
+  return view;
+}
+
+uint32_t FlowAgent::MakeEcho(const Endpoint& balancer, bool offered) {
+  auto it = std::find(echo_balancers_.begin(), echo_balancers_.end(), balancer);
+  if (it == echo_balancers_.end()) {
+    if (echo_balancers_.size() >= kMaxEchoBalancers) echo_balancers_.clear();
+    it = echo_balancers_.insert(echo_balancers_.end(), balancer);
+  }
+  const auto index = static_cast<uint32_t>(it - echo_balancers_.begin());
+  return kEchoMark | index | (offered ? kOfferedBit : 0);
+}
+
+Endpoint FlowAgent::BalancerOfEcho(uint32_t echo, bool& offered) const {
+  const size_t index = echo & 0xffff;
+  if ((echo & kEchoMarkMask) != kEchoMark || index >= echo_balancers_.size()) {
+    return {};
+  }
+  offered = (echo & kOfferedBit) != 0;
+  return echo_balancers_[index];
+}
+
+void FlowAgent::OnTick(TimePoint now) {
+  urgent_ = false;
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepPeriod;
+    ForgetOldFlows(now);
+  }
+  for (auto it = balancers_.begin(); it != balancers_.end();) {
+    BalancerView& view = it->second;
+    const bool due = view.packets_since_report || !view.accepted.empty() ||
+                     !view.held.empty() || !view.not_held.empty() ||
+                     view.reported_waiting != waiting_;
+    if (due) SendReport(now, it->first, view);
+    it = now - view.last_packet > kBalancerIdle ? balancers_.erase(it)
+                                                : std::next(it);
+  }
+}
+
+void FlowAgent::SendReport(TimePoint now, const Endpoint& balancer,
+                           BalancerView& view) {
+  schema::AgentReport report;
+  report.agent = options_.self.Pack();
+  report.service_name = service();
+  report.state = health_.state();
+  report.silent = health_.Silent(now);
+  report.slots = health_.announcement().slots;
+  report.waiting = waiting_;
+  report.opening = opening_;
+  report.flows = static_cast<int32_t>(flows_.size());
+  report.response_us = static_cast<int32_t>(response_.count());
+  report.accepted = TakeKeys(view.accepted, kMaxFlowsPerReport);
+  report.held = TakeKeys(view.held, kMaxFlowsPerReport);
+  report.not_held = TakeKeys(view.not_held, kMaxFlowsPerReport);
+  report.restarting = stopping_ && !health_.gone();
+  view.packets_since_report = false;
+  view.last_report = now;
+  view.reported_waiting = waiting_;
+  ++counters_.reports;
+  output_.Report(balancer, report);
+}
+
+void FlowAgent::ForgetOldFlows(TimePoint now) {
+  for (auto it = flows_.begin(); it != flows_.end();) {
+    const FlowEntry& entry = it->second;
+    const Duration idle = now - entry.last_packet;
+    const Duration limit = entry.state == FlowState::kEnded ? kEndedLinger
+                           : entry.state == FlowState::kOpening
+                               ? kOpeningLimit
+                               : options_.flow_lifetime;
+    const auto next = std::next(it);
+    if (idle > limit) Erase(it);
+    it = next;
+  }
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/steering/src/flow_prober.cc
@@ -0,0 +1,139 @@
+#include "steering/flow_prober.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "steering/placement.h"
+
+namespace sesamesaddle {
+
+void FlowProber::Search(TimePoint now, const Flow& flow, const PacketHead& head,
+                        std::string packet,
+                        const std::vector<std::string>& services,
+                        const std::vector<Endpoint>& likely,
+                        const std::vector<Endpoint>& denied) {
+  const auto [it, added] = searches_.try_emplace(flow);
+  Pursuit& search = it->second;
+  search.acknowledged = head.acknowledged;
+  for (const Endpoint& agent : denied) search.denied.insert(agent);
+  if (added) {
+    search.started = now;
+    search.services = services;
+  } else {
+    // Agents that were asked get the further packets of the flow as well.
+    for (const Endpoint& agent : search.asked) {
+      AgentView* view = directory_.Find(agent);
+      if (view == nullptr || search.denied.count(agent) != 0) continue;
+      output_.Offer(now, *view, flow, packet);
+    }
+  }
+  if (search.packets.size() < kMaxHeldPackets) {
+    search.packets.push_back(std::move(packet));
+  }
+  if (!added) return;
+  std::vector<AgentView*> first;
+  for (const Endpoint& agent : likely) {
+    AgentView* view = directory_.Find(agent);
+    if (view != nullptr && search.denied.count(agent) == 0) {
+      first.push_back(view);
+    }
+  }
+  if (first.empty()) {
+    for (const std::string& service : search.services) {
+      for (AgentView* view :
+           FlowCandidates(flow, zone_, directory_.OfService(service))) {
+        if (search.denied.count(view->agent) == 0) first.push_back(view);
+      }
+    }
+  }
+  if (first.empty()) first = NextAgents(flow, search);
+  AskRound(now, flow, search, first);
+}
+
+void FlowProber::AskRound(TimePoint now, const Flow& flow, Pursuit& search,
+                          const std::vector<AgentView*>& agents) {
+  search.next_round = now + kRoundTime;
+  for (AgentView* view : agents) {
+    search.asked.insert(view->agent);
+    for (const std::string& packet : search.packets) {
+      output_.Offer(now, *view, flow, packet);
+    }
+  }
+}
+
+std::vector<AgentView*> FlowProber::NextAgents(const Flow& flow,
+                                               const Pursuit& search) {
+  const auto open = [&search](const AgentView* view) {
+    return search.asked.count(view->agent) == 0 &&
+           search.denied.count(view->agent) == 0;
+  };
+  std::vector<AgentView*> next;
+  for (const std::string& service : search.services) {
+    for (AgentView* view : directory_.OfService(service)) {
+      if (open(view)) next.push_back(view);
+    }
+  }
+  // An earlier configuration may have sent the flow to another service.
+  if (next.empty()) {
+    for (AgentView* view : directory_.All()) {
+      if (open(view)) next.push_back(view);
+    }
+  }
+  std::sort(next.begin(), next.end(), [&flow](auto* a, auto* b) {
+    const uint64_t seed = HashFlow(flow);
+    return (static_cast<uint64_t>(a->agent.Pack()) ^ seed) <
+           (static_cast<uint64_t>(b->agent.Pack()) ^ seed);
+  });
+  if (next.size() > kAgentsPerRound) next.resize(kAgentsPerRound);
+  return next;
+}
+
+std::vector<std::string> FlowProber::Found(const Flow& flow) {
+  const auto it = searches_.find(flow);
+  if (it == searches_.end()) return {};
+  std::vector<std::string> packets = std::move(it->second.packets);
+  searches_.erase(it);
+  return packets;
+}
+
+void FlowProber::OnNotHeld(TimePoint now, const Flow& flow,
+                           const Endpoint& agent) {
+  const auto it = searches_.find(flow);
+  if (it == searches_.end()) return;
+  Pursuit& search = it->second;
+  search.denied.insert(agent);
+  if (AllDenied(search)) {
+    const uint32_t acknowledged = search.acknowledged;
+    searches_.erase(it);
+    output_.OnNobodyHolds(now, flow, acknowledged);
+    return;
+  }
+  const bool round_over = std::all_of(search.asked.begin(), search.asked.end(),
+                                      [&search](const Endpoint& asked) {
+                                        return search.denied.count(asked) != 0;
+                                      });
+  if (round_over) AskRound(now, flow, search, NextAgents(flow, search));
+}
+
+bool FlowProber::AllDenied(const Pursuit& search) {
+  for (const AgentView* view : directory_.All()) {
+    if (search.denied.count(view->agent) == 0) return false;
+  }
+  return true;
+}
+
+void FlowProber::OnTick(TimePoint now) {
+  for (auto it = searches_.begin(); it != searches_.end();) {
+    Pursuit& search = it->second;
+    if (now - search.started > kSearchLimit) {
+      it = searches_.erase(it);
+      continue;
+    }
+    if (now >= search.next_round) {
+      AskRound(now, it->first, search, NextAgents(it->first, search));
+    }
+    ++it;
+  }
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/steering/src/placement.cc
@@ -0,0 +1,150 @@
+#include "steering/placement.h"
+
+#include <algorithm>
+
+#include "routing/rendezvous.h"
+
+namespace sesamesaddle {
+namespace {
+
+// Two choices leave little of the imbalance of one (Mitzenmacher 1996).
+constexpr size_t kCandidatesPerScope = 2;
+// Queued work per slot that outweighs staying in the zone; a hop between zones
+// takes well under a millisecond, a place in a queue tens of them.
+constexpr double kOtherZoneCost = 0.34;
+// A target this much above its slots gives way to any other of the service.
+constexpr double kOverloadedCost = 1.0;
+// Share of its slots that a target offers while it starts slowly.
+constexpr double kSlowStartShare = 0.6;
+// Responses are compared with the service's usual time within these bounds.
+constexpr double kLeastSlowness = 0.8;
+constexpr double kMostSlowness = 8.0;
+
+uint64_t Weight(const Flow& flow, const AgentView& view) {
+  return RendezvousWeight(flow, MemberId(view.agent.Pack()));
+}
+
+bool Contains(const std::vector<Endpoint>& list, const Endpoint& agent) {
+  return std::find(list.begin(), list.end(), agent) != list.end();
+}
+
+/** Keeps the `limit` views of the highest weight, best first. */
+void KeepHighest(std::vector<std::pair<uint64_t, AgentView*>>& best,
+                 uint64_t weight, AgentView* view, size_t limit) {
+  const auto place = std::find_if(
+      best.begin(), best.end(),
+      [weight](const auto& entry) { return entry.first < weight; });
+  best.insert(place, {weight, view});
+  if (best.size() > limit) best.pop_back();
+}
+
+double Milliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+/** The median of the response times that the targets report. */
+double UsualResponseMs(const std::vector<AgentView*>& agents) {
+  std::vector<double> times;
+  for (const AgentView* view : agents) {
+    if (view->response > Duration::zero()) {
+      times.push_back(Milliseconds(view->response));
+    }
+  }
+  if (times.empty()) return 0;
+  const auto middle = times.begin() + static_cast<long>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return *middle;
+}
+
+}  // namespace
+
+std::vector<AgentView*> FlowCandidates(const Flow& flow,
+                                       const std::string& zone,
+                                       const std::vector<AgentView*>& agents) {
+  std::vector<std::pair<uint64_t, AgentView*>> near;
+  std::vector<std::pair<uint64_t, AgentView*>> all;
+  for (AgentView* view : agents) {
+    const uint64_t weight = Weight(flow, *view);
+    KeepHighest(all, weight, view, kCandidatesPerScope);
+    if (view->record.zone == zone) {
+      KeepHighest(near, weight, view, kCandidatesPerScope);
+    }
+  }
+  std::vector<AgentView*> candidates;
+  for (const auto& [weight, view] : near) candidates.push_back(view);
+  for (const auto& [weight, view] : all) {
+    if (std::find(candidates.begin(), candidates.end(), view) ==
+        candidates.end()) {
+      candidates.push_back(view);
+    }
+  }
+  return candidates;
+}
+
+AgentView* HashPlacement::Choose(TimePoint /*now*/,
+                                 const PlacementRequest& request,
+                                 const std::vector<AgentView*>& agents) {
+  AgentView* best = nullptr;
+  uint64_t best_weight = 0;
+  for (AgentView* view : agents) {
+    const uint64_t weight = Weight(request.flow, *view);
+    if (!view->listed || Contains(request.excluded, view->agent)) continue;
+    if (best != nullptr && weight < best_weight) continue;
+    best = view;
+    best_weight = weight;
+  }
+  return best;
+}
+
+AgentView* LeastWaitPlacement::Choose(TimePoint now,
+                                      const PlacementRequest& request,
+                                      const std::vector<AgentView*>& agents) {
+  std::vector<AgentView*> usable;
+  for (AgentView* view : agents) {
+    if (Contains(request.excluded, view->agent)) continue;
+    if (TargetDirectory::Usable(now, *view)) usable.push_back(view);
+  }
+  AgentView* best =
+      Cheapest(now, request, FlowCandidates(request.flow, zone_, usable));
+  if (best == nullptr) return nullptr;
+  if (Cost(now, *best, UsualResponseMs(usable)) <= kOverloadedCost) return best;
+  return Cheapest(now, request, usable);
+}
+
+AgentView* LeastWaitPlacement::Cheapest(
+    TimePoint now, const PlacementRequest& request,
+    const std::vector<AgentView*>& agents) const {
+  const double usual_ms = UsualResponseMs(agents);
+  AgentView* best = nullptr;
+  double best_cost = 0;
+  uint64_t best_weight = 0;
+  for (AgentView* view : agents) {
+    const double cost = Cost(now, *view, usual_ms);
+    const uint64_t weight = Weight(request.flow, *view);
+    if (best != nullptr &&
+        (cost > best_cost || (cost == best_cost && weight < best_weight))) {
+      continue;
+    }
+    best = view;
+    best_cost = cost;
+    best_weight = weight;
+  }
+  return best;
+}
+
+double LeastWaitPlacement::Cost(TimePoint now, const AgentView& view,
+                                double usual_ms) const {
+  double slots = std::max(1, view.record.slots);
+  const auto slow_start = std::chrono::milliseconds(view.record.slow_start_ms);
+  if (now - view.listed_since < slow_start) slots *= kSlowStartShare;
+  double slowness = 1;
+  if (usual_ms > 0 && view.response > Duration::zero()) {
+    slowness = std::clamp(Milliseconds(view.response) / usual_ms,
+                          kLeastSlowness, kMostSlowness);
+  }
+  const double work = view.waiting + view.opening + view.placed_since_report;
+  const double zone = view.record.zone == zone_ ? 0 : kOtherZoneCost;
+  return work * slowness / slots + zone;
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/steering/src/route_table.cc
@@ -0,0 +1,33 @@
+#include "steering/route_table.h"
+
+#include "core/hash.h"
+#include "steering/packet.h"
+
+namespace sesamesaddle {
+
+uint16_t ServiceCheck(std::string_view service) {
+  return static_cast<uint16_t>(Hash64(service));
+}
+
+const Route* RouteTable::Find(const Endpoint& address) const {
+  const auto it = routes.find(address);
+  return it == routes.end() ? nullptr : &it->second;
+}
+
+const std::string& PickService(const Route& route, const Flow& flow) {
+  constexpr uint64_t kSeed = 0x5e;  // Independent of the choice of a target.
+  int total = 0;
+  for (const auto& share : route.services) total += share.weight;
+  if (route.services.size() == 1 || total <= 0) {
+    return route.services.front().service;
+  }
+  auto point = static_cast<int>(HashPair(HashFlow(flow), 0, kSeed) %
+                                static_cast<uint64_t>(total));
+  for (const auto& share : route.services) {
+    if (point < share.weight) return share.service;
+    point -= share.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/steering/src/target_directory.cc
@@ -0,0 +1,136 @@
+#include "steering/target_directory.h"
+
+#include <algorithm>
+
+#include "steering/packet.h"
+
+namespace sesamesaddle {
+
+void TargetDirectory::Put(TimePoint now, const std::string& key,
+                          const schema::TargetRecord& record,
+                          int64_t revision) {
+  const Endpoint agent = Endpoint::Unpack(record.agent);
+  const auto [it, added] = agents_.try_emplace(agent);
+  AgentView& view = it->second;
+  if (!added && revision <= view.revision) return;
+  const bool other_target = added || view.record.id != record.id ||
+                            view.record.born_ms != record.born_ms;
+  if (other_target) {
+    view = AgentView();
+    view.listed_since = now;
+  }
+  view.record = record;
+  view.agent = agent;
+  view.service_check = ServiceCheck(record.service_name);
+  view.revision = revision;
+  view.listed = true;
+  by_key_[key] = agent;
+  Reindex();
+}
+
+void TargetDirectory::Remove(TimePoint now, const std::string& key,
+                             int64_t revision) {
+  const auto it = by_key_.find(key);
+  if (it == by_key_.end()) return;
+  AgentView* view = Find(it->second);
+  if (view == nullptr || !view->listed || revision <= view->revision) return;
+  view->listed = false;
+  view->unlisted_since = now;
+  view->revision = revision;
+}
+
+void TargetDirectory::KeepOnly(TimePoint now,
+                               const std::vector<std::string>& keys,
+                               int64_t revision) {
+  for (const auto& [key, agent] : by_key_) {
+    if (std::find(keys.begin(), keys.end(), key) != keys.end()) continue;
+    Remove(now, key, revision);
+  }
+}
+
+AgentView* TargetDirectory::Find(const Endpoint& agent) {
+  const auto it = agents_.find(agent);
+  return it == agents_.end() ? nullptr : &it->second;
+}
+
+const std::vector<AgentView*>& TargetDirectory::OfService(
+    const std::string& service) {
+  static const std::vector<AgentView*> none;
+  const auto it = by_service_.find(service);
+  return it == by_service_.end() ? none : it->second;
+}
+
+std::vector<AgentView*> TargetDirectory::All() {
+  std::vector<AgentView*> all;
+  all.reserve(agents_.size());
+  for (auto& [agent, view] : agents_) all.push_back(&view);
+  return all;
+}
+
+void TargetDirectory::OnReport(TimePoint now,
+                               const schema::AgentReport& report) {
+  AgentView* view = Find(Endpoint::Unpack(report.agent));
+  if (view == nullptr || view->record.service_name != report.service_name)
+    return;
+  view->waiting = report.waiting;
+  view->opening = report.opening;
+  view->flows = report.flows;
+  view->response = Duration(report.response_us);
+  view->placed_since_report = 0;
+  view->last_report = now;
+  view->reported = true;
+  view->unanswered = false;
+  view->restarting = report.restarting;
+  if (report.silent) view->refuses_until = now + kSilentTargetPause;
+  if (report.slots > 0) view->record.slots = report.slots;
+  // An agent knows its target's state before the store does.
+  if (report.state != schema::TargetState::kUnknown) {
+    view->record.state = report.state;
+  }
+}
+
+void TargetDirectory::NoteSent(TimePoint now, AgentView& view) {
+  if (view.unanswered) return;
+  view.unanswered = true;
+  view.unanswered_since = now;
+}
+
+bool TargetDirectory::Silent(TimePoint now, const AgentView& view) {
+  return view.unanswered && now - view.unanswered_since > kSilenceLimit;
+}
+
+bool TargetDirectory::Usable(TimePoint now, const AgentView& view) {
+  if (view.record.state != schema::TargetState::kReady) return false;
+  if (view.restarting || now < view.refuses_until) return false;
+  if (Silent(now, view)) return false;
+  return view.listed ||
+         (view.reported && now - view.last_report < kUnlistedLimit);
+}
+
+std::vector<Endpoint> TargetDirectory::Expire(TimePoint now,
+                                              bool store_current) {
+  std::vector<Endpoint> dropped;
+  for (const auto& [agent, view] : agents_) {
+    if (view.listed || !store_current) continue;
+    const bool heard = view.reported && now - view.last_report < kUnlistedLimit;
+    if (now - view.unlisted_since > kUnlistedLimit && !heard) {
+      dropped.push_back(agent);
+    }
+  }
+  if (dropped.empty()) return dropped;
+  for (const Endpoint& agent : dropped) agents_.erase(agent);
+  for (auto it = by_key_.begin(); it != by_key_.end();) {
+    it = agents_.count(it->second) == 0 ? by_key_.erase(it) : std::next(it);
+  }
+  Reindex();
+  return dropped;
+}
+
+void TargetDirectory::Reindex() {
+  by_service_.clear();
+  for (auto& [agent, view] : agents_) {
+    by_service_[view.record.service_name].push_back(&view);
+  }
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/steering/src/target_health.cc
@@ -0,0 +1,54 @@
+#include "steering/target_health.h"
+
+namespace sesamesaddle {
+
+AnnouncementEffect TargetHealth::OnAnnouncement(
+    TimePoint now, const TargetAnnouncement& announcement) {
+  const bool same = known() && announcement.id == announcement_.id &&
+                    announcement.born_ms == announcement_.born_ms;
+  if (same && announcement.sequence <= announcement_.sequence) {
+    return AnnouncementEffect::kStale;
+  }
+  if (!same && known() && announcement.born_ms < announcement_.born_ms) {
+    return AnnouncementEffect::kStale;
+  }
+  const auto next = announcement.draining ? schema::TargetState::kDraining
+                                          : schema::TargetState::kReady;
+  const bool changed = !same || next != state_ ||
+                       announcement.slots != announcement_.slots ||
+                       announcement.service != announcement_.service;
+  const bool other = known() && !same;
+  state_ = next;
+  announcement_ = announcement;
+  OnHeard(now);
+  if (other) return AnnouncementEffect::kOtherTarget;
+  return changed ? AnnouncementEffect::kChanged : AnnouncementEffect::kNothing;
+}
+
+bool TargetHealth::OnDeregister(const std::string& id) {
+  if (!known() || id != announcement_.id) return false;
+  state_ = schema::TargetState::kGone;
+  return true;
+}
+
+void TargetHealth::OnDelivered(TimePoint now) {
+  if (unanswered_++ == 0) unanswered_since_ = now;
+}
+
+void TargetHealth::OnHeard(TimePoint /*now*/) {
+  unanswered_ = 0;
+  unreachable_ = false;
+}
+
+void TargetHealth::OnUnreachable(TimePoint /*now*/) { unreachable_ = true; }
+
+bool TargetHealth::TakesFlows(TimePoint now) const {
+  return state_ == schema::TargetState::kReady && !Silent(now);
+}
+
+bool TargetHealth::Silent(TimePoint now) const {
+  return unreachable_ || (unanswered_ >= kSilentPackets &&
+                          now - unanswered_since_ > kSilenceLimit);
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -0,0 +1,70 @@
+#ifndef SESAMESADDLE_STEERING_DAEMON_AGENT_PROCESS_H_
+#define SESAMESADDLE_STEERING_DAEMON_AGENT_PROCESS_H_
+
+#include <memory>
+#include <string>
+
+#include "net/packet_socket.h"
+#include "registry/registration.h"
+#include "steering/flow_agent.h"
+#include "steering_daemon/steering_process.h"
+
+namespace sesamesaddle {
+
+/** The process of an agent: sockets, the target's announcements, stop. */
+class AgentProcess : public SteeringProcess, private FlowAgentOutput {
+ public:
+  AgentProcess(SteeringParts parts, SteeringSettings settings);
+
+  tl::expected<void, NetError> Open() override;
+  void Run() override;
+
+  bool Ready() override { return !stopping_; }
+  tl::expected<void, std::string> OnAnnouncement(
+      const Endpoint& address, const TargetAnnouncement& announcement) override;
+  void OnDeregister(const std::string& id) override;
+  void OnBadAnnouncement(const std::string& reason) override;
+
+ private:
+  void ToTarget(std::string_view packet) override;
+  void ToClient(const Endpoint& client, std::string_view packet) override;
+  void ToBalancer(const Endpoint& balancer, std::string_view packet) override;
+  void Report(const Endpoint& balancer,
+              const schema::AgentReport& report) override;
+
+  tl::expected<void, NetError> OpenSockets();
+  bool ServiceIsOurs(const std::string& service);
+  void PublishTarget();
+  void Flush();
+  void ScheduleReports();
+  void SendReports();
+  void SlowTick();
+  void BeginStop();
+  void AdvanceStop();
+  CounterValues Counters() const;
+  std::string State() const;
+  schema::TargetRecord MakeRecord() const;
+
+  SteeringParts parts_;
+  SteeringSettings settings_;
+  prometheus::Registry histograms_;
+  LatencyHistogram response_times_;
+  FlowAgent agent_;
+  std::unique_ptr<Registration> registration_;
+  std::unique_ptr<PacketSocket> balancers_;
+  std::unique_ptr<PacketSocket> target_;
+  std::unique_ptr<PacketSocket> control_;
+  std::unique_ptr<HttpServer> inspection_;
+  EventLoop::Timer report_timer_;
+  EventLoop::Timer slow_timer_;
+  bool report_timer_set_ = false;
+  bool stopping_ = false;
+  bool withdrawn_ = false;
+  TimePoint stop_began_{};
+  int64_t announcements_ = 0;
+  int64_t bad_announcements_ = 0;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STEERING_DAEMON_AGENT_PROCESS_H_
--- /dev/null
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -0,0 +1,81 @@
+#ifndef SESAMESADDLE_STEERING_DAEMON_BALANCER_PROCESS_H_
+#define SESAMESADDLE_STEERING_DAEMON_BALANCER_PROCESS_H_
+
+#include <memory>
+#include <string>
+
+#include "net/packet_socket.h"
+#include "registry/registration.h"
+#include "registry/replica_follower.h"
+#include "steering/flow_balancer.h"
+#include "steering_daemon/replica_exchange.h"
+#include "steering_daemon/steering_process.h"
+
+namespace sesamesaddle {
+
+/** The process of a balancer: sockets, replica of the store, stop. */
+class BalancerProcess : public SteeringProcess,
+                        private FlowBalancerOutput,
+                        private ReplicaListener {
+ public:
+  BalancerProcess(SteeringParts parts, SteeringSettings settings,
+                  std::unique_ptr<PlacementPolicy> placement);
+
+  tl::expected<void, NetError> Open() override;
+  void Run() override;
+
+  bool Ready() override;
+  tl::expected<void, std::string> OnAnnouncement(
+      const Endpoint& address, const TargetAnnouncement& announcement) override;
+  void OnDeregister(const std::string& id) override;
+  void OnBadAnnouncement(const std::string& reason) override;
+
+ private:
+  void ToAgent(const Endpoint& agent, std::string_view packet) override;
+  void ToClient(const Endpoint& client, std::string_view packet) override;
+  void OnConfiguration(const std::string& document, int64_t revision) override;
+  void OnEntry(const std::string& key, const std::string& value,
+               int64_t revision) override;
+  void OnEntryRemoved(const std::string& key, int64_t revision) override;
+
+  tl::expected<void, NetError> OpenSockets();
+  void OnControl(const Endpoint& from, std::string_view bytes);
+  void SendVersion(const Endpoint& control,
+                   const schema::ReplicaVersion& version);
+  void Flush();
+  void ScheduleTick();
+  void Tick();
+  void SlowTick();
+  void BeginStop();
+  void AdvanceStop();
+  void Reload();
+  CounterValues Counters() const;
+  std::string State();
+
+  SteeringParts parts_;
+  SteeringSettings settings_;
+  std::unique_ptr<PlacementPolicy> placement_;
+  TargetDirectory directory_;
+  FlowBalancer balancer_;
+  ReplicaFollower follower_;
+  ReplicaExchange exchange_;
+  Registration registration_;
+  std::unique_ptr<PacketSocket> clients_;
+  std::unique_ptr<PacketSocket> agents_;
+  std::unique_ptr<PacketSocket> control_;
+  std::unique_ptr<HttpServer> inspection_;
+  EventLoop::Timer fast_timer_;
+  EventLoop::Timer slow_timer_;
+  EventLoop::Timer exchange_timer_;
+  bool fast_timer_set_ = false;
+  bool configured_ = false;
+  bool stopping_ = false;
+  bool withdrawn_ = false;
+  TimePoint stop_began_{};
+  TimePoint last_client_packet_{};
+  int64_t malformed_control_ = 0;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STEERING_DAEMON_BALANCER_PROCESS_H_
--- /dev/null
+++ b/packages/steering_daemon/include/steering_daemon/metrics.h
@@ -0,0 +1,39 @@
+#ifndef SESAMESADDLE_STEERING_DAEMON_METRICS_H_
+#define SESAMESADDLE_STEERING_DAEMON_METRICS_H_
+
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "steering/flow_agent.h"
+
+namespace sesamesaddle {
+
+/** Counters and gauges by name; names that end in _total are counters. */
+using CounterValues = std::map<std::string, int64_t>;
+
+/** Durations as a histogram of seconds. */
+class LatencyHistogram : public DurationObserver {
+ public:
+  LatencyHistogram(prometheus::Registry& registry, const std::string& name,
+                   const std::string& help);
+
+  void Observe(Duration duration) override;
+
+ private:
+  prometheus::Histogram& histogram_;
+};
+
+/**
+ * @param registry  histograms to add, or null
+ * @return the values in Prometheus' text format, prefixed sesamesaddle_
+ */
+std::string FormatMetrics(const CounterValues& values,
+                          const prometheus::Registry* registry);
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STEERING_DAEMON_METRICS_H_
--- /dev/null
+++ b/packages/steering_daemon/include/steering_daemon/rate_limited_log.h
@@ -0,0 +1,49 @@
+#ifndef SESAMESADDLE_STEERING_DAEMON_RATE_LIMITED_LOG_H_
+#define SESAMESADDLE_STEERING_DAEMON_RATE_LIMITED_LOG_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "core/event_log.h"
+#include "core/time.h"
+
+namespace sesamesaddle {
+
+/** Bounds the lines of each kind a second and counts what it left out. */
+class RateLimitedLog : public EventLog {
+ public:
+  using Sink = std::function<void(const std::string& line)>;
+
+  /** Lines a second about single flows, per kind; more may come in a burst. */
+  static constexpr int kFlowLinesPerSecond = 25;
+  /** Lines a second about the process and its beliefs, per kind. */
+  static constexpr int kProcessLinesPerSecond = 100;
+
+  RateLimitedLog(const Clock& clock, Sink sink)
+      : clock_(clock), sink_(std::move(sink)) {}
+
+  bool Admit(EventKind kind) override;
+  void Write(EventKind kind, const std::string& line) override;
+
+  int64_t written() const { return written_; }
+  int64_t left_out() const { return left_out_; }
+
+ private:
+  struct Bucket {
+    double tokens = 0;
+    TimePoint filled{};
+    int64_t left_out = 0;
+  };
+
+  const Clock& clock_;
+  Sink sink_;
+  std::array<Bucket, static_cast<size_t>(EventKind::kCount)> buckets_{};
+  int64_t written_ = 0;
+  int64_t left_out_ = 0;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STEERING_DAEMON_RATE_LIMITED_LOG_H_
--- /dev/null
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -0,0 +1,281 @@
+#include "steering_daemon/agent_process.h"
+
+#include <utility>
+
+#include "schema/codec.h"
+#include "schema/readable_json.h"
+
+namespace sesamesaddle {
+namespace {
+
+constexpr char kPart[] = "agent";
+// Signals and stops are looked at this often.
+constexpr Duration kSlowTick = std::chrono::milliseconds(200);
+// Left of the time that the platform gives for a stop.
+constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+// Time for the last reports and the end of the entry once the target is gone.
+constexpr Duration kFarewell = std::chrono::milliseconds(300);
+
+FlowAgentOptions MakeOptions(const SteeringSettings& settings) {
+  FlowAgentOptions options;
+  options.self = settings.packets;
+  options.service = settings.service;
+  options.flow_lifetime = settings.flow_lifetime;
+  return options;
+}
+
+}  // namespace
+
+AgentProcess::AgentProcess(SteeringParts parts, SteeringSettings settings)
+    : parts_(parts),
+      settings_(std::move(settings)),
+      response_times_(histograms_, "response_seconds",
+                      "From the first packet of a request at the target to the "
+                      "first packet of its answer"),
+      agent_(MakeOptions(settings_), parts.codec, *this, parts.log,
+             response_times_) {}
+
+tl::expected<void, NetError> AgentProcess::Open() {
+  auto opened = OpenSockets();
+  if (!opened) return opened;
+  auto inspection = OpenInspection(
+      parts_.loop, PeerEndpoint(settings_, settings_.ip, PeerPort::kReplica),
+      {[this] { return FormatMetrics(Counters(), &histograms_); },
+       [this] { return State(); }, nullptr});
+  if (!inspection) return tl::unexpected(inspection.error());
+  inspection_ = std::move(*inspection);
+  return {};
+}
+
+tl::expected<void, NetError> AgentProcess::OpenSockets() {
+  const auto flush = [this] { Flush(); };
+  auto balancers = PacketSocket::Open(
+      parts_.loop, settings_.packets,
+      {[this](const Endpoint& from, char* bytes, size_t size) {
+         agent_.OnBalancerPacket(parts_.loop.Now(), from, bytes, size);
+       },
+       flush, nullptr});
+  if (!balancers) return tl::unexpected(balancers.error());
+  balancers_ = std::move(*balancers);
+  auto target = PacketSocket::Open(
+      parts_.loop, settings_.outbound,
+      {[this](const Endpoint& /*from*/, char* bytes, size_t size) {
+         agent_.OnTargetPacket(parts_.loop.Now(), bytes, size);
+       },
+       flush, [this] { agent_.OnTargetUnreachable(parts_.loop.Now()); }});
+  if (!target) return tl::unexpected(target.error());
+  target_ = std::move(*target);
+  auto control = PacketSocket::Open(
+      parts_.loop, PeerEndpoint(settings_, settings_.ip, PeerPort::kControl),
+      {[](const Endpoint& /*from*/, char* /*bytes*/, size_t /*size*/) {}, flush,
+       nullptr});
+  if (!control) return tl::unexpected(control.error());
+  control_ = std::move(*control);
+  return {};
+}
+
+void AgentProcess::Run() {
+  LogLine(parts_.log, EventKind::kProcess, kPart, "start")
+      .Add("name", settings_.name)
+      .Add("zone", settings_.zone)
+      .Add("service", settings_.service)
+      .Add("target", settings_.target)
+      .Add("store", settings_.store);
+  slow_timer_ = parts_.loop.Every(kSlowTick, [this] { SlowTick(); });
+  parts_.loop.Run();
+  LogLine(parts_.log, EventKind::kProcess, kPart, "stop")
+      .Add("name", settings_.name)
+      .Add("flows", agent_.flow_count());
+}
+
+bool AgentProcess::ServiceIsOurs(const std::string& service) {
+  if (service == settings_.service) return true;
+  // The settings may have changed without a signal.
+  auto settings = parts_.settings_source.Read();
+  if (!settings || settings->service != service) return false;
+  LogLine(parts_.log, EventKind::kProcess, kPart, "reload")
+      .Add("service", settings->service)
+      .Add("before", settings_.service);
+  settings_.service = settings->service;
+  return true;
+}
+
+tl::expected<void, std::string> AgentProcess::OnAnnouncement(
+    const Endpoint& address, const TargetAnnouncement& announcement) {
+  ++announcements_;
+  if (address != settings_.target) {
+    OnBadAnnouncement("the address is not that of this agent's target");
+    return tl::unexpected(std::string("the address is of another target"));
+  }
+  if (!ServiceIsOurs(announcement.service)) {
+    OnBadAnnouncement("the service is not that of the settings");
+    return tl::unexpected(std::string("the service is another one"));
+  }
+  const TimePoint now = parts_.loop.Now();
+  const AnnouncementEffect effect = agent_.OnAnnouncement(now, announcement);
+  if (effect == AnnouncementEffect::kStale) {
+    LogLine(parts_.log, EventKind::kBelief, kPart, "announcement-stale")
+        .Add("target", announcement.id)
+        .Add("sequence", announcement.sequence)
+        .Add("born", announcement.born_ms);
+    return {};
+  }
+  if (effect != AnnouncementEffect::kNothing) {
+    LogLine(parts_.log, EventKind::kBelief, kPart, "target-announced")
+        .Add("target", announcement.id)
+        .Add("service", announcement.service)
+        .Add("born", announcement.born_ms)
+        .Add("sequence", announcement.sequence)
+        .Add("draining", announcement.draining)
+        .Add("slots", announcement.slots)
+        .Add("flows", agent_.flow_count());
+    PublishTarget();
+  }
+  return {};
+}
+
+void AgentProcess::OnDeregister(const std::string& id) {
+  const bool present = agent_.OnDeregister(parts_.loop.Now(), id);
+  LogLine(parts_.log, EventKind::kBelief, kPart, "target-deregistered")
+      .Add("target", id)
+      .Add("present", present);
+  if (!present) return;
+  Flush();
+  if (registration_ == nullptr) return;
+  withdrawn_ = false;
+  registration_->Withdraw([this] { withdrawn_ = true; });
+}
+
+void AgentProcess::OnBadAnnouncement(const std::string& reason) {
+  ++bad_announcements_;
+  LogLine(parts_.log, EventKind::kMalformed, kPart, "announcement-refused")
+      .Add("reason", "\"" + reason + "\"");
+}
+
+schema::TargetRecord AgentProcess::MakeRecord() const {
+  const TargetAnnouncement& target = agent_.health().announcement();
+  schema::TargetRecord record;
+  record.id = target.id;
+  record.born_ms = target.born_ms;
+  record.service_name = target.service;
+  record.target = settings_.target.Pack();
+  record.agent = settings_.packets.Pack();
+  record.zone = settings_.zone;
+  record.slots = target.slots;
+  record.state = agent_.health().state();
+  record.slow_start_ms = target.slow_start_ms;
+  return record;
+}
+
+void AgentProcess::PublishTarget() {
+  if (registration_ == nullptr || agent_.health().gone()) {
+    registration_ = std::make_unique<Registration>(
+        parts_.store, parts_.scheduler, parts_.random, parts_.log,
+        RegistrationTimes(), DirectoryKeys::OfTarget(settings_.packets));
+  }
+  registration_->Publish(EncodeCompact(MakeRecord()));
+}
+
+void AgentProcess::ToTarget(std::string_view packet) {
+  target_->Queue(settings_.target, packet);
+}
+
+void AgentProcess::ToClient(const Endpoint& client, std::string_view packet) {
+  balancers_->Queue(Endpoint(client.ip(), settings_.packets.port()), packet);
+}
+
+void AgentProcess::ToBalancer(const Endpoint& balancer,
+                              std::string_view packet) {
+  balancers_->Queue(balancer, packet);
+}
+
+void AgentProcess::Report(const Endpoint& balancer,
+                          const schema::AgentReport& report) {
+  schema::SteeringMessage message;
+  message.__set_report(report);
+  control_->Queue(PeerEndpoint(settings_, balancer.ip(), PeerPort::kControl),
+                  EncodeCompact(message));
+}
+
+void AgentProcess::Flush() {
+  target_->Flush();
+  balancers_->Flush();
+  ScheduleReports();
+}
+
+void AgentProcess::ScheduleReports() {
+  if (report_timer_set_ || !agent_.busy()) return;
+  report_timer_set_ = true;
+  const Duration delay = agent_.urgent() ? FlowAgent::kUrgentReportDelay
+                                         : FlowAgent::kReportPeriod;
+  report_timer_ = parts_.loop.After(delay, [this] { SendReports(); });
+}
+
+void AgentProcess::SendReports() {
+  report_timer_set_ = false;
+  agent_.OnTick(parts_.loop.Now());
+  control_->Flush();
+  ScheduleReports();
+}
+
+void AgentProcess::SlowTick() {
+  if (parts_.signals.stop && !stopping_) BeginStop();
+  if (stopping_) AdvanceStop();
+}
+
+void AgentProcess::BeginStop() {
+  stopping_ = true;
+  stop_began_ = parts_.loop.Now();
+  LogLine(parts_.log, EventKind::kProcess, kPart, "stop-begins")
+      .Add("flows", agent_.flow_count())
+      .Add("target_gone", agent_.health().gone());
+  agent_.BeginStop();
+}
+
+void AgentProcess::AdvanceStop() {
+  const Duration since = parts_.loop.Now() - stop_began_;
+  const bool target_left = agent_.health().gone() || !agent_.health().known();
+  const bool done = target_left && (since > kFarewell);
+  // While the target lives it can be reached through this process only.
+  if (done || since > settings_.stop_grace - kStopReserve) parts_.loop.Stop();
+}
+
+CounterValues AgentProcess::Counters() const {
+  const FlowAgentCounters& c = agent_.counters();
+  return {
+      {"packets_to_target_total", c.packets_to_target},
+      {"packets_to_clients_total", c.packets_to_clients},
+      {"syns_total", c.syns},
+      {"flows_accepted_total", c.accepted},
+      {"syns_refused_total", c.refused},
+      {"packets_returned_by_target_total", c.returned_by_target},
+      {"packets_not_held_total", c.not_held},
+      {"packets_of_other_service_total", c.wrong_service},
+      {"resets_total", c.resets},
+      {"malformed_packets_total", c.malformed},
+      {"reports_total", c.reports},
+      {"announcements_total", announcements_},
+      {"announcements_refused_total", bad_announcements_},
+      {"flows", static_cast<int64_t>(agent_.flow_count())},
+      {"requests_waiting", agent_.waiting()},
+      {"target_state", static_cast<int64_t>(agent_.health().state())},
+      {"entry_published",
+       registration_ != nullptr && registration_->published() ? 1 : 0},
+      {"send_failures_total",
+       balancers_->send_failures() + target_->send_failures()},
+  };
+}
+
+std::string AgentProcess::State() const {
+  schema::SteeringState state;
+  state.name = settings_.name;
+  state.role = "agent";
+  state.zone = settings_.zone;
+  state.ready = !stopping_;
+  state.stopping = stopping_;
+  if (agent_.health().known()) state.targets.push_back(MakeRecord());
+  state.counters = Counters();
+  return EncodeReadableJson(state);
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/steering_daemon/src/rate_limited_log.cc
@@ -0,0 +1,50 @@
+#include "steering_daemon/rate_limited_log.h"
+
+#include <algorithm>
+
+namespace sesamesaddle {
+namespace {
+
+// A burst of two seconds' lines may pass at once.
+constexpr double kBurstSeconds = 2;
+
+int LinesPerSecond(EventKind kind) {
+  return kind == EventKind::kProcess || kind == EventKind::kDependency ||
+                 kind == EventKind::kBelief
+             ? RateLimitedLog::kProcessLinesPerSecond
+             : RateLimitedLog::kFlowLinesPerSecond;
+}
+
+}  // namespace
+
+bool RateLimitedLog::Admit(EventKind kind) {
+  Bucket& bucket = buckets_[static_cast<size_t>(kind)];
+  const TimePoint now = clock_.Now();
+  const double rate = LinesPerSecond(kind);
+  const double limit = rate * kBurstSeconds;
+  if (bucket.filled == TimePoint()) bucket.tokens = limit;
+  const double elapsed =
+      std::chrono::duration<double>(now - bucket.filled).count();
+  bucket.tokens = std::min(limit, bucket.tokens + elapsed * rate);
+  bucket.filled = now;
+  if (bucket.tokens < 1) {
+    ++bucket.left_out;
+    ++left_out_;
+    return false;
+  }
+  bucket.tokens -= 1;
+  return true;
+}
+
+void RateLimitedLog::Write(EventKind kind, const std::string& line) {
+  Bucket& bucket = buckets_[static_cast<size_t>(kind)];
+  ++written_;
+  if (bucket.left_out == 0) {
+    sink_(line);
+    return;
+  }
+  sink_(line + " lines_left_out=" + std::to_string(bucket.left_out));
+  bucket.left_out = 0;
+}
+
+}  // namespace sesamesaddle
--- a/packages/platform/include/platform/store.h
+++ b/packages/store/include/store/store.h
@@ -1,5 +1,5 @@
-#ifndef SESAMESADDLE_PLATFORM_STORE_H_
-#define SESAMESADDLE_PLATFORM_STORE_H_
+#ifndef SESAMESADDLE_STORE_STORE_H_
+#define SESAMESADDLE_STORE_STORE_H_
 
 #include <functional>
 #include <string>
@@ -20,6 +20,7 @@
   kLeaseExpired,
   kTooLarge,        // The value is over the service's limit of a megabyte.
   kUnavailable,     // The service did not take the call.
+  kHistoryGone,     // Watch: changes since that revision are forgotten.
   kOutcomeUnknown,  // Sent, no answer: a write may have taken effect.
 };
 
@@ -53,12 +54,14 @@
                       LeaseId lease, Done<KeyVersion> done) = 0;
   /** Writes a key whose version must be `expected`. */
   virtual void CompareAndSwap(const std::string& key, KeyVersion expected,
-                              const std::string& value,
+                              const std::string& value, LeaseId lease,
                               Done<KeyVersion> done) = 0;
   virtual void Remove(const std::string& key, Done<KeyVersion> done) = 0;
   /** Grants a lease; keys created under it go when it lapses. */
   virtual void GrantLease(Duration time_to_live, Done<LeaseId> done) = 0;
   virtual void RenewLease(LeaseId lease, Done<LeaseId> done) = 0;
+  /** Ends a lease; its keys go at once. */
+  virtual void EndLease(LeaseId lease, Done<LeaseId> done) = 0;
   /**
    * Waits for writes below `prefix` after `revision` of the store.
    * @param wait  the service answers with an empty list after this time.
@@ -69,4 +72,4 @@
 
 }  // namespace sesamesaddle
 
-#endif  // SESAMESADDLE_PLATFORM_STORE_H_
+#endif  // SESAMESADDLE_STORE_STORE_H_
--- a/packages/platform/src/store.cc
+++ b/packages/store/src/store.cc
@@ -1,4 +1,4 @@
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace sesamesaddle {
 
@@ -16,6 +16,8 @@
       return "the value is over a megabyte";
     case StoreError::kUnavailable:
       return "the platform does not answer";
+    case StoreError::kHistoryGone:
+      return "the changes since then are forgotten";
     case StoreError::kOutcomeUnknown:
       return "the platform's reply was lost";
   }
--- /dev/null
+++ b/packages/store/tests/store_test.cc
@@ -0,0 +1,61 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "core/time.h"
+#include "memory_store.h"
+
+namespace sesamesaddle {
+namespace {
+
+TEST_CASE("Of two creates of a key one wins") {
+  MemoryStore store;
+  CHECK(store.Create("k", "a", kNoLease).has_value());
+  CHECK(store.Create("k", "b", kNoLease).error() == StoreError::kExists);
+  CHECK(store.Read("k")->value == "a");
+}
+
+TEST_CASE("A write needs the version it was made for") {
+  MemoryStore store;
+  const KeyVersion first = *store.Create("k", "a", kNoLease);
+  CHECK(store.CompareAndSwap("k", first, "b").has_value());
+  CHECK(store.CompareAndSwap("k", first, "c").error() ==
+        StoreError::kVersionMismatch);
+  CHECK(store.CompareAndSwap("x", first, "c").error() == StoreError::kNotFound);
+}
+
+TEST_CASE("Keys go with their lease, also while its holder is paused") {
+  MemoryStore store;
+  const TimePoint start(std::chrono::seconds(10));
+  const LeaseId lease = store.GrantLease(start, std::chrono::seconds(5));
+  REQUIRE(store.Create("k", "a", lease).has_value());
+  store.Expire(start + std::chrono::seconds(4));
+  CHECK(store.RenewLease(start + std::chrono::seconds(4), lease).has_value());
+  store.Expire(start + std::chrono::seconds(8));
+  CHECK(store.Read("k").has_value());
+  store.Expire(start + std::chrono::seconds(9));
+  CHECK(store.Read("k").error() == StoreError::kNotFound);
+  CHECK(store.RenewLease(start, lease).error() == StoreError::kLeaseExpired);
+  CHECK(store.Create("k", "b", lease).error() == StoreError::kLeaseExpired);
+}
+
+TEST_CASE("A watch sees every write after its revision, and removals") {
+  MemoryStore store;
+  store.Create("p/a", "1", kNoLease);
+  const int64_t seen = store.revision();
+  store.Create("p/b", "2", kNoLease);
+  store.Create("q", "3", kNoLease);
+  store.Remove("p/a");
+  const auto changes = store.ChangesAfter("p/", seen);
+  REQUIRE(changes.items.size() == 2);
+  CHECK(changes.items[0].key == "p/b");
+  CHECK(changes.items[1].deleted);
+}
+
+TEST_CASE("Values over a megabyte are refused") {
+  MemoryStore store;
+  CHECK(store.Create("k", std::string(kMaxValueBytes + 1, 'x'), kNoLease)
+            .error() == StoreError::kTooLarge);
+}
+
+}  // namespace
+}  // namespace sesamesaddle
--- a/scripts/lib/build.sh
+++ b/scripts/lib/build.sh
@@ -5,7 +5,7 @@
   libh2o-evloop-dev libthrift-dev libboost-dev prometheus-cpp-dev
   libcli11-dev libeasyloggingpp-dev libexpected-dev libtrompeloeil-cpp-dev
   catch2 libcoap3-dev libxxhash-dev librapidcheck-dev libssl-dev zlib1g-dev
-  libbenchmark-dev)
+  libbenchmark-dev nlohmann-json3-dev libtomlplusplus-dev)
 
 install_packages() {
   local missing=()
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -1,11 +1,12 @@
 // Stand-in for the platform's key-value service, with failures on demand:
-// POST /control?mode=ok|down|slow|lose-replies[&ms=N].
+// POST /control?mode=ok|down|slow|lose-replies|forget[&ms=N].
 
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
 #include <list>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "core/time.h"
@@ -13,41 +14,43 @@
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "net/query.h"
-#include "schema/codec.h"
+#include "platform/base64.h"
 
 namespace sesamesaddle {
 namespace {
 
 enum class Mode { kOk, kDown, kSlow, kLoseReplies };
 
-int ToStatus(StoreError error) {
-  switch (error) {
-    case StoreError::kNotFound:
-      return 404;
-    case StoreError::kExists:
-      return 409;
-    case StoreError::kVersionMismatch:
-      return 412;
-    case StoreError::kLeaseExpired:
-      return 410;
-    case StoreError::kTooLarge:
-      return 413;
-    default:
-      return 503;
-  }
-}
+using Json = nlohmann::json;
 
-template <typename Id>
-HttpResponse NumberResponse(const tl::expected<Id, StoreError>& result) {
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kHistoryGone = 410;
+constexpr int kPrecondition = 412;
+
+HttpResponse JsonResponse(int status, const Json& body) {
   HttpResponse response;
-  if (result) {
-    response.body = std::to_string(result->value());
-  } else {
-    response.status = ToStatus(result.error());
-  }
+  response.status = status;
+  response.content_type = "application/json";
+  response.body = body.dump();
   return response;
 }
 
+Json ItemJson(const schema::KeyValue& item) {
+  if (item.deleted) {
+    return {{"key", item.key}, {"revision", item.version}, {"removed", true}};
+  }
+  return {{"key", item.key},
+          {"value", EncodeBase64(item.value)},
+          {"revision", item.version}};
+}
+
+Json ItemsJson(const std::vector<schema::KeyValue>& items) {
+  Json list = Json::array();
+  for (const auto& item : items) list.push_back(ItemJson(item));
+  return list;
+}
+
 class PlatformStandIn {
  public:
   PlatformStandIn(EventLoop& loop, const Endpoint& listen) : loop_(loop) {
@@ -116,80 +119,115 @@
     if (mode == "down") mode_ = Mode::kDown;
     if (mode == "slow") mode_ = Mode::kSlow;
     if (mode == "lose-replies") mode_ = Mode::kLoseReplies;
+    if (mode == "forget") store_.Compact();
   }
 
   void Handle(const HttpRequest& request,
               const std::shared_ptr<HttpResponder>& responder) {
-    const std::string key_prefix = "/v1/kv/";
-    if (request.path == "/v1/watch") {
+    if (request.path == "/v1/kv-watch") {
       watches_.push_back(
           {QueryValue(request.query, "prefix"),
            std::stoll(QueryValue(request.query, "after")),
            loop_.Now() + std::chrono::milliseconds(
-                             std::stoll(QueryValue(request.query, "wait_ms"))),
+                             std::stoll(QueryValue(request.query, "waitMs"))),
            responder});
-      AnswerWatches();
-    } else if (request.path == "/v1/list") {
-      HttpResponse response;
-      response.body =
-          EncodeCompact(store_.List(QueryValue(request.query, "prefix")));
-      responder->Send(response);
-    } else if (request.path == "/v1/leases") {
-      const auto ttl = std::stoll(QueryValue(request.query, "ttl_ms"));
-      HttpResponse response;
-      response.body = std::to_string(
-          store_.GrantLease(loop_.Now(), std::chrono::milliseconds(ttl))
-              .value());
-      responder->Send(response);
-    } else if (request.path.rfind("/v1/leases/", 0) == 0) {
-      const LeaseId lease(std::stoll(request.path.substr(11)));
-      responder->Send(NumberResponse(store_.RenewLease(loop_.Now(), lease)));
-    } else if (request.path.rfind(key_prefix, 0) == 0) {
-      responder->Send(
-          HandleKey(request, request.path.substr(key_prefix.size())));
-      AnswerWatches();
     } else {
-      HttpResponse response;
-      response.status = 404;
-      responder->Send(response);
+      responder->Send(Answer(request));
+    }
+    AnswerWatches();
+  }
+
+  HttpResponse Answer(const HttpRequest& request) {
+    const std::string keep = "/v1/kv-keep/";
+    const std::string end = "/v1/kv-lease-end/";
+    const Json body = request.body.empty()
+                          ? Json::object()
+                          : Json::parse(request.body, nullptr, false);
+    if (!body.is_object()) return JsonResponse(kBadRequest, Json::object());
+    if (request.path == "/v1/kv-key") {
+      const auto item = store_.Read(QueryValue(request.query, "key"));
+      return item ? JsonResponse(200, ItemJson(*item))
+                  : JsonResponse(kNotFound, Json::object());
+    }
+    if (request.path == "/v1/kv-range") {
+      const auto list = store_.List(QueryValue(request.query, "prefix"));
+      return JsonResponse(200, {{"items", ItemsJson(list.items)},
+                                {"truncated", false},
+                                {"asOf", list.revision}});
+    }
+    if (request.path == "/v1/kv-txn") return Transact(body);
+    if (request.path == "/v1/kv-lease") {
+      const int64_t ttl_ms = body.value("ttlMs", 1000);
+      const LeaseId lease =
+          store_.GrantLease(loop_.Now(), std::chrono::milliseconds(ttl_ms));
+      return JsonResponse(200, {{"lease", lease.value()}, {"ttlMs", ttl_ms}});
+    }
+    if (request.path.rfind(keep, 0) == 0) {
+      const LeaseId lease(std::stoll(request.path.substr(keep.size())));
+      const auto renewed = store_.RenewLease(loop_.Now(), lease);
+      return JsonResponse(renewed ? 200 : kNotFound, Json::object());
+    }
+    if (request.path.rfind(end, 0) == 0) {
+      const LeaseId lease(std::stoll(request.path.substr(end.size())));
+      const auto ended = store_.EndLease(lease);
+      return JsonResponse(ended ? 200 : kNotFound, Json::object());
     }
+    return JsonResponse(kNotFound, Json::object());
   }
 
-  HttpResponse HandleKey(const HttpRequest& request, const std::string& key) {
-    if (request.method == "GET") {
+  /** All of the writes or none: conditions and leases are looked at first. */
+  HttpResponse Transact(const Json& body) {
+    Json failed = Json::array();
+    for (const Json& row : body.value("precondition", Json::array())) {
+      const std::string key = row.value("key", "");
+      const auto item = store_.Read(key);
+      const int64_t revision = item ? item->version : 0;
+      if (revision == row.value("revision", int64_t{0})) continue;
+      failed.push_back(item ? ItemJson(*item)
+                            : Json{{"key", key}, {"revision", 0}});
+    }
+    if (!failed.empty())
+      return JsonResponse(kPrecondition, {{"items", failed}});
+    for (const Json& row : body.value("writes", Json::array())) {
+      const LeaseId lease(row.value("lease", int64_t{0}));
+      if (lease != kNoLease && !store_.HasLease(lease)) {
+        return JsonResponse(kNotFound, Json::object());
+      }
+    }
+    for (const Json& row : body.value("writes", Json::array())) {
+      const auto value = DecodeBase64(row.value("value", ""));
+      if (!value) return JsonResponse(kBadRequest, Json::object());
+      const std::string key = row.value("key", "");
+      const LeaseId lease(row.value("lease", int64_t{0}));
       const auto item = store_.Read(key);
-      HttpResponse response;
       if (item) {
-        response.body = EncodeCompact(*item);
+        store_.CompareAndSwap(key, KeyVersion(item->version), *value, lease);
       } else {
-        response.status = ToStatus(item.error());
+        store_.Create(key, *value, lease);
       }
-      return response;
     }
-    if (request.method == "DELETE") return NumberResponse(store_.Remove(key));
-    const auto match = request.headers.find("if-match");
-    if (match != request.headers.end()) {
-      return NumberResponse(store_.CompareAndSwap(
-          key, KeyVersion(std::stoll(match->second)), request.body));
+    for (const Json& key : body.value("remove", Json::array())) {
+      store_.Remove(key.get<std::string>());
     }
-    const auto lease = request.headers.find("x-lease");
-    return NumberResponse(store_.Create(
-        key, request.body,
-        lease == request.headers.end() ? kNoLease
-                                       : LeaseId(std::stoll(lease->second))));
+    return JsonResponse(200, {{"revision", store_.revision()}});
   }
 
   void AnswerWatches() {
     const TimePoint now = loop_.Now();
     for (auto it = watches_.begin(); it != watches_.end();) {
+      if (!store_.HasHistory(it->after)) {
+        it->responder->Send(JsonResponse(kHistoryGone, Json::object()));
+        it = watches_.erase(it);
+        continue;
+      }
       const auto changes = store_.ChangesAfter(it->prefix, it->after);
       if (changes.items.empty() && now < it->until) {
         ++it;
         continue;
       }
-      HttpResponse response;
-      response.body = EncodeCompact(changes);
-      it->responder->Send(response);
+      it->responder->Send(JsonResponse(
+          200,
+          {{"events", ItemsJson(changes.items)}, {"asOf", changes.revision}}));
       it = watches_.erase(it);
     }
   }
--- a/standins/platform/memory_store.cc
+++ b/standins/platform/memory_store.cc
@@ -50,16 +50,20 @@
 }
 
 tl::expected<KeyVersion, StoreError> MemoryStore::CompareAndSwap(
-    const std::string& key, KeyVersion expected, const std::string& value) {
+    const std::string& key, KeyVersion expected, const std::string& value,
+    LeaseId lease) {
   if (value.size() > kMaxValueBytes) {
     return tl::unexpected(StoreError::kTooLarge);
   }
+  if (lease != kNoLease && leases_.count(lease) == 0) {
+    return tl::unexpected(StoreError::kLeaseExpired);
+  }
   const auto it = entries_.find(key);
   if (it == entries_.end()) return tl::unexpected(StoreError::kNotFound);
   if (it->second.version != expected.value()) {
     return tl::unexpected(StoreError::kVersionMismatch);
   }
-  return Write(key, value, it->second.lease);
+  return Write(key, value, lease);
 }
 
 tl::expected<KeyVersion, StoreError> MemoryStore::Remove(
@@ -89,13 +93,36 @@
       ++lease;
       continue;
     }
-    std::vector<std::string> lapsed;
-    for (const auto& [key, entry] : entries_) {
-      if (entry.lease == lease->first) lapsed.push_back(key);
-    }
+    const LeaseId lapsed = lease->first;
     lease = leases_.erase(lease);
-    for (const std::string& key : lapsed) Remove(key);
+    RemoveKeysOf(lapsed);
+  }
+}
+
+tl::expected<LeaseId, StoreError> MemoryStore::EndLease(LeaseId lease) {
+  if (leases_.erase(lease) == 0) {
+    return tl::unexpected(StoreError::kLeaseExpired);
   }
+  RemoveKeysOf(lease);
+  return lease;
+}
+
+void MemoryStore::RemoveKeysOf(LeaseId lease) {
+  std::vector<std::string> keys;
+  for (const auto& [key, entry] : entries_) {
+    if (entry.lease == lease) keys.push_back(key);
+  }
+  for (const std::string& key : keys) Remove(key);
+}
+
+void MemoryStore::Compact() {
+  history_.clear();
+  compacted_ = revision_;
+}
+
+LeaseId MemoryStore::LeaseOf(const std::string& key) const {
+  const auto it = entries_.find(key);
+  return it == entries_.end() ? kNoLease : it->second.lease;
 }
 
 schema::KeyValueList MemoryStore::ChangesAfter(const std::string& prefix,
--- a/standins/platform/memory_store.h
+++ b/standins/platform/memory_store.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "core/time.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace sesamesaddle {
 
@@ -25,15 +25,23 @@
                                               LeaseId lease);
   tl::expected<KeyVersion, StoreError> CompareAndSwap(const std::string& key,
                                                       KeyVersion expected,
-                                                      const std::string& value);
+                                                      const std::string& value,
+                                                      LeaseId lease = kNoLease);
   tl::expected<KeyVersion, StoreError> Remove(const std::string& key);
   LeaseId GrantLease(TimePoint now, Duration time_to_live);
   tl::expected<LeaseId, StoreError> RenewLease(TimePoint now, LeaseId lease);
+  tl::expected<LeaseId, StoreError> EndLease(LeaseId lease);
+  /** Forgets the changes so far: watches from before fail. */
+  void Compact();
   /** Removes lapsed leases and their keys. */
   void Expire(TimePoint now);
   /** Writes below `prefix` after `revision`, oldest first. */
   schema::KeyValueList ChangesAfter(const std::string& prefix,
                                     int64_t revision) const;
+  /** Whether the changes after that revision are all still known. */
+  bool HasHistory(int64_t revision) const { return revision >= compacted_; }
+  LeaseId LeaseOf(const std::string& key) const;
+  bool HasLease(LeaseId lease) const { return leases_.count(lease) != 0; }
   int64_t revision() const { return revision_; }
 
  private:
@@ -47,6 +55,7 @@
     TimePoint expires;
   };
 
+  void RemoveKeysOf(LeaseId lease);
   KeyVersion Write(const std::string& key, const std::string& value,
                    LeaseId lease);
 
@@ -54,6 +63,7 @@
   std::map<LeaseId, Lease> leases_;
   std::vector<schema::KeyValue> history_;
   int64_t revision_ = 0;
+  int64_t compacted_ = 0;
   int64_t next_lease_ = 1;
 };
 
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "memory_store.h"
-#include "platform/store.h"
+#include "store/store.h"
 #include "virtual_scheduler.h"
 
 namespace sesamesaddle {
@@ -39,11 +39,11 @@
         done);
   }
   void CompareAndSwap(const std::string& key, KeyVersion expected,
-                      const std::string& value,
+                      const std::string& value, LeaseId lease,
                       Done<KeyVersion> done) override {
     Call<KeyVersion>(
-        [this, key, expected, value] {
-          return memory_.CompareAndSwap(key, expected, value);
+        [this, key, expected, value, lease] {
+          return memory_.CompareAndSwap(key, expected, value, lease);
         },
         done);
   }
@@ -62,8 +62,16 @@
         [this, lease] { return memory_.RenewLease(scheduler_.Now(), lease); },
         done);
   }
+  void EndLease(LeaseId lease, Done<LeaseId> done) override {
+    Call<LeaseId>([this, lease] { return memory_.EndLease(lease); }, done);
+  }
   void Watch(const std::string& prefix, int64_t revision, Duration wait,
              Done<schema::KeyValueList> done) override {
+    if (fate() != Fate::kAnswered) {
+      scheduler_.After(
+          delay, [done] { done(tl::unexpected(StoreError::kUnavailable)); });
+      return;
+    }
     Poll(prefix, revision, scheduler_.Now() + wait, done);
   }
 
@@ -89,6 +97,10 @@
 
   void Poll(const std::string& prefix, int64_t revision, TimePoint until,
             const Done<schema::KeyValueList>& done) {
+    if (!memory_.HasHistory(revision)) {
+      done(tl::unexpected(StoreError::kHistoryGone));
+      return;
+    }
     const auto changes = memory_.ChangesAfter(prefix, revision);
     if (!changes.items.empty() || scheduler_.Now() >= until) {
       done(changes);
--- a/tests/support/virtual_scheduler.h
+++ b/tests/support/virtual_scheduler.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <map>
 
-#include "configuration/change_log.h"
+#include "core/scheduler.h"
 
 namespace sesamesaddle {
 
