New flows wait at the agent for room at its target; reports of searches at once

Change: a SYN that finds its target with 1.5 admitted requests a slot waits at the agent (SynQueue: priority, then those still in time, oldest first), at most 200 ms, then goes back to its balancer. Half-open flows count as work for 100 ms only.

--- a/cmake/sesamesaddle.cmake
+++ b/cmake/sesamesaddle.cmake
@@ -6,6 +6,9 @@
 find_package(prometheus-cpp REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
+# Linked as an archive: resolving the symbols of the shared library takes a third
+# of a process' start.
+find_library(THRIFT_ARCHIVE libthrift.a REQUIRED)
 find_package(OpenSSL REQUIRED)
 
 # sesamesaddle_library(NAME sources... LINK libraries...)
--- a/packages/schema/gen/steering_types.cpp
+++ b/packages/schema/gen/steering_types.cpp
@@ -577,6 +577,10 @@
 void AgentReport::__set_silent(const bool val) {
   this->silent = val;
 }
+
+void AgentReport::__set_queued(const int32_t val) {
+  this->queued = val;
+}
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj)
 {
   obj.printTo(out);
@@ -609,6 +613,7 @@
   bool isset_not_held = false;
   bool isset_restarting = false;
   bool isset_silent = false;
+  bool isset_queued = false;
 
   while (true)
   {
@@ -760,6 +765,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queued);
+          isset_queued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -795,6 +808,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_silent)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_queued)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -879,6 +894,10 @@
   xfer += oprot->writeBool(this->silent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->queued);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -899,6 +918,7 @@
   swap(a.not_held, b.not_held);
   swap(a.restarting, b.restarting);
   swap(a.silent, b.silent);
+  swap(a.queued, b.queued);
 }
 
 AgentReport::AgentReport(const AgentReport& other28) {
@@ -915,6 +935,7 @@
   not_held = other28.not_held;
   restarting = other28.restarting;
   silent = other28.silent;
+  queued = other28.queued;
 }
 AgentReport::AgentReport(AgentReport&& other29) noexcept {
   agent = other29.agent;
@@ -930,6 +951,7 @@
   not_held = std::move(other29.not_held);
   restarting = other29.restarting;
   silent = other29.silent;
+  queued = other29.queued;
 }
 AgentReport& AgentReport::operator=(const AgentReport& other30) {
   agent = other30.agent;
@@ -945,6 +967,7 @@
   not_held = other30.not_held;
   restarting = other30.restarting;
   silent = other30.silent;
+  queued = other30.queued;
   return *this;
 }
 AgentReport& AgentReport::operator=(AgentReport&& other31) noexcept {
@@ -961,6 +984,7 @@
   not_held = std::move(other31.not_held);
   restarting = other31.restarting;
   silent = other31.silent;
+  queued = other31.queued;
   return *this;
 }
 void AgentReport::printTo(std::ostream& out) const {
@@ -979,6 +1003,7 @@
   out << ", " << "not_held=" << to_string(not_held);
   out << ", " << "restarting=" << to_string(restarting);
   out << ", " << "silent=" << to_string(silent);
+  out << ", " << "queued=" << to_string(queued);
   out << ")";
 }
 
--- a/packages/schema/gen/steering_types.h
+++ b/packages/schema/gen/steering_types.h
@@ -219,7 +219,8 @@
                 flows(0),
                 response_us(0),
                 restarting(0),
-                silent(0) {
+                silent(0),
+                queued(0) {
   }
 
   virtual ~AgentReport() noexcept;
@@ -240,6 +241,7 @@
   std::vector< ::sesamesaddle::schema::FlowKey>  not_held;
   bool restarting;
   bool silent;
+  int32_t queued;
 
   void __set_agent(const  ::sesamesaddle::schema::PackedEndpoint val);
 
@@ -267,6 +269,8 @@
 
   void __set_silent(const bool val);
 
+  void __set_queued(const int32_t val);
+
   bool operator == (const AgentReport & rhs) const
   {
     if (!(agent == rhs.agent))
@@ -295,6 +299,8 @@
       return false;
     if (!(silent == rhs.silent))
       return false;
+    if (!(queued == rhs.queued))
+      return false;
     return true;
   }
   bool operator != (const AgentReport &rhs) const {
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -49,7 +49,7 @@
   7: required i32 flows
   // Moving average from a request's packet to the first packet of its answer.
   8: required i32 response_us
-  // SYNs that the target has accepted.
+  // Flows whose SYN the target has accepted, or the agent keeps for it.
   9: required list<messages.FlowKey> accepted
   // Flows of offered packets that this target holds.
   10: required list<messages.FlowKey> held
@@ -59,6 +59,8 @@
   12: required bool restarting
   // The target has stopped answering packets; new flows are refused.
   13: required bool silent
+  // New flows that wait at the agent for room at its target.
+  14: required i32 queued
 }
 
 // How new a balancer's replica is.
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -2,15 +2,18 @@
 #define SESAMESADDLE_STEERING_FLOW_AGENT_H_
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/endpoint.h"
 #include "core/event_log.h"
 #include "core/time.h"
 #include "steering/packet.h"
+#include "steering/syn_queue.h"
 #include "steering/target_health.h"
 #include "steering_types.h"
 
@@ -47,6 +50,7 @@
   int64_t syns = 0;
   int64_t accepted = 0;
   int64_t refused = 0;
+  int64_t queued = 0;
   int64_t returned_by_target = 0;
   int64_t not_held = 0;
   int64_t wrong_service = 0;
@@ -76,8 +80,12 @@
   static constexpr Duration kUrgentReportDelay = std::chrono::milliseconds(2);
   /** A balancer that was silent for longer gets no reports. */
   static constexpr Duration kBalancerIdle = std::chrono::milliseconds(1500);
-  /** An opened flow without a request counts as work for so long. */
-  static constexpr Duration kRequestExpected = std::chrono::milliseconds(300);
+  /** A SYN counts as work to come for so long, unless its request is there. */
+  static constexpr Duration kRequestExpected = std::chrono::milliseconds(100);
+  /** A request without an answer no longer counts as work after this time. */
+  static constexpr Duration kLongestWork = std::chrono::seconds(3);
+  /** Flows that wait for room are looked at again this often. */
+  static constexpr Duration kQueuePeriod = std::chrono::milliseconds(10);
   /** A flow that has ended is remembered for late packets. */
   static constexpr Duration kEndedLinger = std::chrono::seconds(4);
   /** Largest number of flows a report names in each list. */
@@ -111,6 +119,8 @@
   bool busy() const { return !balancers_.empty(); }
   /** Whether a report should not wait for the period to end. */
   bool urgent() const { return urgent_; }
+  /** Whether flows wait for room. */
+  bool queueing() const { return !queue_.empty(); }
 
  private:
   enum class FlowState : uint8_t { kOpening, kOpen, kEnded };
@@ -118,7 +128,8 @@
     FlowState state = FlowState::kOpening;
     bool sequence_known = false;
     bool waiting = false;
-    bool requested = false;
+    /** Counted as work that is about to come. */
+    bool expected = false;
     bool client_ended = false;
     bool target_ended = false;
     uint32_t target_sequence = 0;
@@ -133,6 +144,7 @@
     TimePoint last_packet{};
     TimePoint last_report{};
     bool packets_since_report = false;
+    bool urgent = false;
     int reported_waiting = 0;
     std::vector<Flow> accepted;
     std::vector<Flow> held;
@@ -142,14 +154,23 @@
 
   void OnSyn(TimePoint now, const Endpoint& balancer, const PacketHead& head,
              char* packet, size_t size);
+  void Open(TimePoint now, const Endpoint& balancer, const Flow& flow,
+            const PacketHead& head, char* packet, size_t size);
+  /** Lets waiting flows go on as far as the target has room. */
+  void ServeQueue(TimePoint now);
+  void ExpireQueue(TimePoint now);
+  void RefuseQueued(TimePoint now, std::vector<WaitingSyn> syns,
+                    std::string_view reason);
   void OnData(TimePoint now, const Endpoint& balancer, const PacketHead& head,
               char* packet, size_t size);
   void Deliver(TimePoint now, const PacketHead& head, FlowEntry* entry,
                const Endpoint& balancer, char* packet, size_t size);
   void OnReturned(TimePoint now, const PacketHead& head, char* packet,
                   size_t size);
+  /** @param waited  time since the SYN came to its first balancer */
   void Refuse(TimePoint now, const Endpoint& balancer, const Flow& flow,
-              std::string_view reason, char* packet, size_t size);
+              std::string_view reason, char* packet, size_t size,
+              Duration waited = Duration::zero());
   void AnswerNotHeld(TimePoint now, const Endpoint& balancer, const Flow& flow,
                      bool offered, char* packet, size_t size);
   void ResetFlow(const Flow& flow, const FlowEntry& entry,
@@ -159,6 +180,9 @@
                         FlowEntry& entry);
   void NoteAnswer(TimePoint now, FlowEntry& entry);
   void StopWaiting(FlowEntry& entry);
+  void Expect(TimePoint now, const Flow& flow, FlowEntry& entry);
+  void StopExpecting(FlowEntry& entry);
+  void ExpireExpectations(TimePoint now);
   void Erase(FlowMap::iterator it);
   bool KnowsAllFlows(TimePoint now) const;
   BalancerView& Touch(TimePoint now, const Endpoint& balancer);
@@ -177,13 +201,16 @@
   TargetHealth health_;
   FlowAgentCounters counters_;
   FlowMap flows_;
+  SynQueue queue_;
   std::unordered_map<Endpoint, BalancerView> balancers_;
   /** Balancers by the index that an echo names. */
   std::vector<Endpoint> echo_balancers_;
   TimePoint started_{};
   TimePoint next_sweep_{};
   int waiting_ = 0;
-  int opening_ = 0;
+  int expected_ = 0;
+  /** Flows that were counted as expected, oldest first. */
+  std::deque<std::pair<TimePoint, Flow>> expectations_;
   Duration response_{};
   bool stopping_ = false;
   bool urgent_ = false;
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -10,6 +10,7 @@
 #include "core/endpoint.h"
 #include "core/event_log.h"
 #include "core/time.h"
+#include "steering/admission.h"
 #include "steering/flow_prober.h"
 #include "steering/packet.h"
 #include "steering/placement.h"
@@ -39,6 +40,8 @@
   int64_t searches = 0;
   int64_t resets_no_route = 0;
   int64_t resets_no_target = 0;
+  int64_t resets_overload = 0;
+  int64_t waited_for_room = 0;
   int64_t resets_nobody_holds = 0;
   int64_t resets_target_gone = 0;
   int64_t resets_target_silent = 0;
@@ -53,9 +56,9 @@
 class FlowBalancer : private FlowProberOutput {
  public:
   /** A SYN that no target has accepted is placed again after this time. */
-  static constexpr Duration kAcceptTime = std::chrono::milliseconds(70);
-  /** A SYN without any usable target waits so long for one. */
-  static constexpr Duration kTargetWait = std::chrono::milliseconds(400);
+  static constexpr Duration kAcceptTime = std::chrono::milliseconds(120);
+  /** Waiting SYNs are looked at again this often. */
+  static constexpr Duration kWaitStep = std::chrono::milliseconds(10);
   /** Targets that one SYN is sent to at most, without refusals. */
   static constexpr size_t kMaxTargetsPerSyn = 3;
 
@@ -105,6 +108,7 @@
     std::vector<Endpoint> refused;
     TimePoint arrived{};
     TimePoint retry_at{};
+    bool waiting_for_room = false;
   };
   using FlowMap = std::unordered_map<Flow, FlowEntry>;
 
@@ -112,9 +116,16 @@
              std::string_view packet);
   void OnData(TimePoint now, const Flow& flow, const PacketHead& head,
               char* packet, size_t size);
-  void Place(TimePoint now, const Flow& flow, const Route& route,
+  /** @return false if the flow was refused; `placing` is void then. */
+  bool Place(TimePoint now, const Flow& flow, const Route& route,
              Placing& placing);
-  void Forward(TimePoint now, AgentView& agent, char* packet, size_t size);
+  bool Admit(TimePoint now, const Flow& flow, const Route& route,
+             const AgentView& chosen, Placing& placing);
+  void Send(TimePoint now, const Flow& flow, const Route& route,
+            AgentView& chosen, Placing& placing);
+  std::vector<Flow> DuePlacements(TimePoint now) const;
+  void Forward(TimePoint now, AgentView& agent, char* packet, size_t size,
+               uint8_t priority = 0, SynTimes times = {});
   void StartSearch(TimePoint now, const Flow& flow, const PacketHead& head,
                    std::string_view packet, const std::vector<Endpoint>& likely,
                    const std::vector<Endpoint>& denied);
--- a/packages/steering/include/steering/packet.h
+++ b/packages/steering/include/steering/packet.h
@@ -8,6 +8,7 @@
 #include <tl/expected.hpp>
 
 #include "core/endpoint.h"
+#include "core/time.h"
 
 namespace sesamesaddle {
 
@@ -25,12 +26,27 @@
   HopKind kind = HopKind::kNone;
   /** Low bits of the hash of the service that the sender means. */
   uint16_t service_check = 0;
+  /** Of the flow's route, 0 to kLowestPriority; 0 is served first. */
+  uint8_t priority = 0;
+
+  static constexpr uint8_t kLowestPriority = 15;
 
   friend bool operator==(const HopTag& a, const HopTag& b) {
-    return a.kind == b.kind && a.service_check == b.service_check;
+    return a.kind == b.kind && a.service_check == b.service_check &&
+           a.priority == b.priority;
   }
 };
 
+/** What a balancer tells an agent of a SYN's time; travels as the echo. */
+struct SynTimes {
+  Duration waited{};
+  /** Latency that the route aims at. */
+  Duration target_latency{};
+
+  uint32_t Pack() const;
+  static SynTimes Unpack(uint32_t packed);
+};
+
 /** The header of one packet of a flow; the payload is opaque. */
 struct PacketHead {
   Endpoint source;
--- a/packages/steering/include/steering/route_table.h
+++ b/packages/steering/include/steering/route_table.h
@@ -26,6 +26,10 @@
   RequestKind kind = RequestKind::kRunsOnce;
   /** 0 is served first. */
   int priority = 0;
+  /** Time within which an answer is worth most. */
+  Duration target_latency = std::chrono::milliseconds(200);
+  /** Time after which a client no longer waits. */
+  Duration timeout = std::chrono::seconds(1);
   std::vector<WeightedService> services;
 };
 
--- /dev/null
+++ b/packages/steering/include/steering/syn_queue.h
@@ -0,0 +1,67 @@
+#ifndef SESAMESADDLE_STEERING_SYN_QUEUE_H_
+#define SESAMESADDLE_STEERING_SYN_QUEUE_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/endpoint.h"
+#include "core/time.h"
+#include "steering/admission.h"
+
+namespace sesamesaddle {
+
+/** A SYN that waits beside its target for room there. */
+struct WaitingSyn {
+  Flow flow;
+  std::string packet;
+  Endpoint balancer;
+  int priority = 0;
+  /** When it came to this queue. */
+  TimePoint arrived{};
+  /** How long it had waited before. */
+  Duration waited_before{};
+  Duration target_latency{};
+};
+
+/**
+ * New flows that wait beside a target whose slots are all taken. Work that a
+ * target has accepted is served in the order in which it came; here the order
+ * can still be chosen: by priority, then those that can still be answered in
+ * time, oldest first. It answers bursts and the return of all clients after an
+ * outage.
+ */
+class SynQueue {
+ public:
+  /** A target never has more admitted requests per slot than this. */
+  static constexpr double kAdmittedPerSlot = 1.5;
+  /** Longer queues per slot are refused. */
+  static constexpr size_t kMaxPerSlot = 8;
+  /** After this wait another target is tried. */
+  static constexpr Duration kLongestWait = std::chrono::milliseconds(200);
+
+  /** Whether one more request may go to a target with that much work. */
+  static bool HasRoom(int work, int slots);
+
+  /** @return false if the queue is full. */
+  bool Push(WaitingSyn syn, int slots);
+  /** @return the most urgent flow, if any. */
+  std::optional<WaitingSyn> Pop(TimePoint now);
+  /** @return those that have waited too long, removed. */
+  std::vector<WaitingSyn> TakeExpired(TimePoint now);
+  /** @return all, removed. */
+  std::vector<WaitingSyn> TakeAll();
+  bool Contains(const Flow& flow) const;
+
+  bool empty() const { return waiting_.empty(); }
+  size_t size() const { return waiting_.size(); }
+
+ private:
+  static Urgency UrgencyOf(const WaitingSyn& syn, TimePoint now);
+
+  std::vector<WaitingSyn> waiting_;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STEERING_SYN_QUEUE_H_
--- a/packages/steering/include/steering/target_directory.h
+++ b/packages/steering/include/steering/target_directory.h
@@ -30,6 +30,8 @@
   Duration response{};
   /** Flows that this balancer placed there since the last report. */
   int placed_since_report = 0;
+  /** New flows that wait at the agent. */
+  int queued = 0;
   TimePoint last_report{};
   bool reported = false;
   bool restarting = false;
@@ -40,6 +42,9 @@
   bool unanswered = false;
 };
 
+/** @return requests per slot: those reported, and those placed since. */
+double WorkPerSlot(TimePoint now, const AgentView& view);
+
 /** The targets that a balancer knows, from the store and from reports. */
 class TargetDirectory {
  public:
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -98,6 +98,32 @@
     Refuse(now, balancer, flow, reason, packet, size);
     return;
   }
+  const auto it = flows_.find(flow);
+  const bool copy = it != flows_.end() &&
+                    it->second.state == FlowState::kOpening &&
+                    it->second.client_sequence == head.sequence;
+  const int slots = health_.announcement().slots;
+  if (copy ||
+      (queue_.empty() && SynQueue::HasRoom(waiting_ + expected_, slots))) {
+    Open(now, balancer, flow, head, packet, size);
+    return;
+  }
+  if (queue_.Contains(flow)) return;
+  const SynTimes times = SynTimes::Unpack(head.echo);
+  WaitingSyn syn{
+      flow,         std::string(packet, size), balancer, head.tag.priority, now,
+      times.waited, times.target_latency};
+  if (!queue_.Push(std::move(syn), slots)) {
+    Refuse(now, balancer, flow, "queue-full", packet, size);
+    return;
+  }
+  ++counters_.queued;
+  // The balancer need not look for another target meanwhile.
+  Touch(now, balancer).accepted.push_back(flow);
+}
+
+void FlowAgent::Open(TimePoint now, const Endpoint& balancer, const Flow& flow,
+                     const PacketHead& head, char* packet, size_t size) {
   const auto [it, added] = flows_.try_emplace(flow);
   FlowEntry& entry = it->second;
   const bool copy = !added && entry.state == FlowState::kOpening &&
@@ -105,11 +131,11 @@
   if (!copy) {
     // A client's port that is used again names a new flow.
     StopWaiting(entry);
-    if (!added && entry.state == FlowState::kOpening) --opening_;
+    StopExpecting(entry);
     entry = FlowEntry();
     entry.client_sequence = head.sequence;
     entry.opened = now;
-    ++opening_;
+    Expect(now, flow, entry);
   }
   entry.last_packet = now;
   entry.balancer = balancer;
@@ -119,6 +145,33 @@
   output_.ToTarget(std::string_view(packet, size));
 }
 
+void FlowAgent::ServeQueue(TimePoint now) {
+  const int slots = health_.announcement().slots;
+  while (!queue_.empty() && SynQueue::HasRoom(waiting_ + expected_, slots)) {
+    auto syn = queue_.Pop(now);
+    const auto head = codec_.Decode(syn->packet);
+    Open(now, syn->balancer, syn->flow, *head, syn->packet.data(),
+         syn->packet.size());
+  }
+}
+
+void FlowAgent::ExpireQueue(TimePoint now) {
+  if (queue_.empty()) return;
+  if (stopping_ || !health_.TakesFlows(now)) {
+    RefuseQueued(now, queue_.TakeAll(), "target-leaving");
+  } else {
+    RefuseQueued(now, queue_.TakeExpired(now), "queue-slow");
+  }
+}
+
+void FlowAgent::RefuseQueued(TimePoint now, std::vector<WaitingSyn> syns,
+                             std::string_view reason) {
+  for (WaitingSyn& syn : syns) {
+    Refuse(now, syn.balancer, syn.flow, reason, syn.packet.data(),
+           syn.packet.size(), syn.waited_before + (now - syn.arrived));
+  }
+}
+
 void FlowAgent::OnData(TimePoint now, const Endpoint& balancer,
                        const PacketHead& head, char* packet, size_t size) {
   const Flow flow = ClientFlow(head);
@@ -143,7 +196,6 @@
     }
     entry.state = FlowState::kOpen;
     entry.opened = now;
-    --opening_;
     LogLine(log_, EventKind::kOpened, kPart, "flow-opened")
         .Add("flow", flow)
         .Add("service", service())
@@ -175,13 +227,14 @@
   if (head.reset) {
     entry.state = FlowState::kEnded;
     StopWaiting(entry);
+    StopExpecting(entry);
     return;
   }
   entry.client_ended = entry.client_ended || head.fin;
   const uint32_t end = head.sequence + head.payload_bytes;
   if (head.payload_bytes == 0 || !After(end, entry.client_sequence)) return;
   entry.client_sequence = end;
-  entry.requested = true;
+  StopExpecting(entry);
   if (entry.waiting) return;
   entry.waiting = true;
   entry.waiting_since = now;
@@ -208,7 +261,6 @@
     // A flow from before this process started.
     entry.opened = now;
     entry.state = syn_answer ? FlowState::kOpening : FlowState::kOpen;
-    if (syn_answer) ++opening_;
   }
   entry.last_packet = now;
   if (syn_answer && entry.state == FlowState::kOpening) {
@@ -220,11 +272,14 @@
       Touch(now, entry.balancer).accepted.push_back(flow);
     }
   }
-  if (head->payload_bytes > 0) NoteAnswer(now, entry);
+  if (head->payload_bytes > 0) {
+    NoteAnswer(now, entry);
+    ServeQueue(now);
+  }
   entry.target_ended = entry.target_ended || head->fin;
   if (head->reset || (entry.target_ended && entry.client_ended)) {
     StopWaiting(entry);
-    if (entry.state == FlowState::kOpening) --opening_;
+    StopExpecting(entry);
     entry.state = FlowState::kEnded;
   }
   ++counters_.packets_to_clients;
@@ -263,7 +318,7 @@
 
 void FlowAgent::Refuse(TimePoint now, const Endpoint& balancer,
                        const Flow& flow, std::string_view reason, char* packet,
-                       size_t size) {
+                       size_t size, Duration waited) {
   ++counters_.refused;
   LogLine(log_, EventKind::kRefused, kPart, "syn-refused")
       .Add("flow", flow)
@@ -273,7 +328,8 @@
       .Add("waiting", waiting_)
       .Add("balancer", balancer);
   TouchUrgently(now, balancer);
-  codec_.SetHop(packet, {HopKind::kRefused, ServiceCheck(service())}, 0);
+  codec_.SetHop(packet, {HopKind::kRefused, ServiceCheck(service())},
+                SynTimes{waited, Duration::zero()}.Pack());
   output_.ToBalancer(balancer, std::string_view(packet, size));
 }
 
@@ -308,7 +364,8 @@
   }
   flows_.clear();
   waiting_ = 0;
-  opening_ = 0;
+  expected_ = 0;
+  expectations_.clear();
 }
 
 AnnouncementEffect FlowAgent::OnAnnouncement(
@@ -320,7 +377,10 @@
 bool FlowAgent::OnDeregister(TimePoint /*now*/, const std::string& id) {
   if (!health_.OnDeregister(id)) return false;
   ResetAll("target-ended");
-  for (auto& [endpoint, view] : balancers_) view.packets_since_report = true;
+  for (auto& [endpoint, view] : balancers_) {
+    view.packets_since_report = true;
+    view.urgent = true;
+  }
   urgent_ = true;
   return true;
 }
@@ -341,9 +401,31 @@
   --waiting_;
 }
 
+void FlowAgent::Expect(TimePoint now, const Flow& flow, FlowEntry& entry) {
+  entry.expected = true;
+  ++expected_;
+  expectations_.emplace_back(now, flow);
+}
+
+void FlowAgent::StopExpecting(FlowEntry& entry) {
+  if (!entry.expected) return;
+  entry.expected = false;
+  --expected_;
+}
+
+/** A client that opened its flow elsewhere sends no request here. */
+void FlowAgent::ExpireExpectations(TimePoint now) {
+  while (!expectations_.empty() &&
+         now - expectations_.front().first > kRequestExpected) {
+    const auto it = flows_.find(expectations_.front().second);
+    if (it != flows_.end()) StopExpecting(it->second);
+    expectations_.pop_front();
+  }
+}
+
 void FlowAgent::Erase(FlowMap::iterator it) {
   StopWaiting(it->second);
-  if (it->second.state == FlowState::kOpening) --opening_;
+  StopExpecting(it->second);
   flows_.erase(it);
 }
 
@@ -363,6 +445,7 @@
   urgent_ = true;
   BalancerView& view = Touch(now, balancer);
   view.packets_since_report = true;
+  view.urgent = true;
   return view;
 }
 
@@ -387,6 +470,9 @@
 
 void FlowAgent::OnTick(TimePoint now) {
   urgent_ = false;
+  ExpireExpectations(now);
+  ExpireQueue(now);
+  ServeQueue(now);
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepPeriod;
     ForgetOldFlows(now);
@@ -396,7 +482,8 @@
     const bool due = view.packets_since_report || !view.accepted.empty() ||
                      !view.held.empty() || !view.not_held.empty() ||
                      view.reported_waiting != waiting_;
-    if (due) SendReport(now, it->first, view);
+    const bool time = view.urgent || now - view.last_report >= kReportPeriod;
+    if (due && time) SendReport(now, it->first, view);
     it = now - view.last_packet > kBalancerIdle ? balancers_.erase(it)
                                                 : std::next(it);
   }
@@ -409,9 +496,10 @@
   report.service_name = service();
   report.state = health_.state();
   report.silent = health_.Silent(now);
+  report.queued = static_cast<int32_t>(queue_.size());
   report.slots = health_.announcement().slots;
   report.waiting = waiting_;
-  report.opening = opening_;
+  report.opening = expected_;
   report.flows = static_cast<int32_t>(flows_.size());
   report.response_us = static_cast<int32_t>(response_.count());
   report.accepted = TakeKeys(view.accepted, kMaxFlowsPerReport);
@@ -419,6 +507,7 @@
   report.not_held = TakeKeys(view.not_held, kMaxFlowsPerReport);
   report.restarting = stopping_ && !health_.gone();
   view.packets_since_report = false;
+  view.urgent = false;
   view.last_report = now;
   view.reported_waiting = waiting_;
   ++counters_.reports;
@@ -434,6 +523,9 @@
                                ? kOpeningLimit
                                : options_.flow_lifetime;
     const auto next = std::next(it);
+    if (entry.waiting && now - entry.waiting_since > kLongestWork) {
+      StopWaiting(it->second);
+    }
     if (idle > limit) Erase(it);
     it = next;
   }
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -10,6 +10,8 @@
 constexpr Duration kSweepPeriod = std::chrono::seconds(1);
 // Time for the last packets of a flow that the limit on idleness has closed.
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
+// A SYN that was sent to targets is repeated for so long.
+constexpr Duration kPlacingLimit = std::chrono::milliseconds(400);
 
 Flow ToFlow(const schema::FlowKey& key) {
   return {Endpoint::Unpack(key.caller), Endpoint::Unpack(key.service_address)};
@@ -79,45 +81,94 @@
   Place(now, flow, *routes_.Find(flow.service), placing);
 }
 
-void FlowBalancer::Place(TimePoint now, const Flow& flow, const Route& route,
+bool FlowBalancer::Place(TimePoint now, const Flow& flow, const Route& route,
                          Placing& placing) {
   placing.retry_at = now + kAcceptTime;
-  FlowEntry& entry = flows_[flow];
   PlacementRequest request{flow, placing.refused};
-  for (const Endpoint& agent : entry.tried) request.excluded.push_back(agent);
-  const std::string& service = PickService(route, flow);
-  const auto& agents = directory_.OfService(service);
-  AgentView* chosen = nullptr;
-  if (entry.tried.size() < kMaxTargetsPerSyn) {
-    chosen = placement_.Choose(now, request, agents);
+  const auto known = flows_.find(flow);
+  size_t tries = 0;
+  if (known != flows_.end()) {
+    const std::vector<Endpoint>& tried = known->second.tried;
+    tries = tried.size();
+    request.excluded.insert(request.excluded.end(), tried.begin(), tried.end());
   }
+  if (tries >= kMaxTargetsPerSyn) return true;
+  AgentView* chosen = placement_.Choose(
+      now, request, directory_.OfService(PickService(route, flow)));
   if (chosen == nullptr) {
-    if (entry.tried.empty()) flows_.erase(flow);
-    return;
+    if (tries > 0) return true;
+    placing.retry_at = now + kWaitStep;
+    if (now - placing.arrived <= Admission::WaitLimit(route)) return true;
+    ++counters_.resets_no_target;
+    Reset(flow, 0, "no-target");
+    placing_.erase(flow);
+    return false;
+  }
+  if (tries == 0 && !Admit(now, flow, route, *chosen, placing)) return false;
+  if (!placing.waiting_for_room) Send(now, flow, route, *chosen, placing);
+  return true;
+}
+
+/** @return false if the flow was refused. */
+bool FlowBalancer::Admit(TimePoint now, const Flow& flow, const Route& route,
+                         const AgentView& chosen, Placing& placing) {
+  const double work = WorkPerSlot(now, chosen);
+  const Duration waited = now - placing.arrived;
+  switch (Admission::Decide(route, work, waited)) {
+    case AdmissionDecision::kPlace:
+      placing.waiting_for_room = false;
+      return true;
+    case AdmissionDecision::kWait:
+      if (!placing.waiting_for_room) ++counters_.waited_for_room;
+      placing.waiting_for_room = true;
+      placing.retry_at = now + kWaitStep;
+      return true;
+    case AdmissionDecision::kRefuse:
+      break;
   }
+  ++counters_.resets_overload;
+  LogLine(log_, EventKind::kRefused, kPart, "flow-refused")
+      .Add("flow", flow)
+      .Add("route", route.name)
+      .Add("work_per_slot", work)
+      .Add("waited", waited)
+      .Add("report_age", now - chosen.last_report);
+  Reset(flow, 0, "overload");
+  placing_.erase(flow);
+  return false;
+}
+
+void FlowBalancer::Send(TimePoint now, const Flow& flow, const Route& route,
+                        AgentView& chosen, Placing& placing) {
+  FlowEntry& entry = flows_[flow];
   ++(entry.tried.empty() ? counters_.placed : counters_.placed_again);
   const auto head = codec_.Decode(placing.packet);
-  entry.agent = chosen->agent;
-  entry.tried.push_back(chosen->agent);
+  entry.agent = chosen.agent;
+  entry.tried.push_back(chosen.agent);
   entry.accepted = false;
   entry.runs_once = route.kind == RequestKind::kRunsOnce;
   entry.syn_sequence = head->sequence;
   entry.last_packet = now;
-  ++chosen->placed_since_report;
+  ++chosen.placed_since_report;
   LogLine(log_, EventKind::kPlaced, kPart, "flow-placed")
       .Add("flow", flow)
       .Add("route", route.name)
-      .Add("service", service)
-      .Add("target", chosen->record.id)
-      .Add("agent", chosen->agent)
+      .Add("service", chosen.record.service_name)
+      .Add("target", chosen.record.id)
+      .Add("agent", chosen.agent)
       .Add("try", entry.tried.size())
-      .Add("waiting", chosen->waiting)
-      .Add("slots", chosen->record.slots)
-      .Add("report_age", now - chosen->last_report)
+      .Add("waited", now - placing.arrived)
+      .Add("waiting", chosen.waiting)
+      .Add("slots", chosen.record.slots)
+      .Add("report_age", now - chosen.last_report)
       .Add("config", routes_.version)
-      .Add("entry_revision", chosen->revision);
+      .Add("entry_revision", chosen.revision);
   std::string packet = placing.packet;
-  Forward(now, *chosen, packet.data(), packet.size());
+  const int priority =
+      std::clamp<int>(route.priority, 0, HopTag::kLowestPriority);
+  Forward(now, chosen, packet.data(), packet.size(),
+          static_cast<uint8_t>(priority),
+          {now - placing.arrived, route.target_latency});
 }
 
 void FlowBalancer::OnData(TimePoint now, const Flow& flow,
@@ -155,8 +206,9 @@
 }
 
 void FlowBalancer::Forward(TimePoint now, AgentView& agent, char* packet,
-                           size_t size) {
-  codec_.SetHop(packet, {HopKind::kDirect, agent.service_check}, 0);
+                           size_t size, uint8_t priority, SynTimes times) {
+  codec_.SetHop(packet, {HopKind::kDirect, agent.service_check, priority},
+                times.Pack());
   TargetDirectory::NoteSent(now, agent);
   output_.ToAgent(agent.agent, std::string_view(packet, size));
 }
@@ -236,14 +288,19 @@
     // Until its next report, or so long that others come first for a while.
     view->refuses_until = now + std::chrono::milliseconds(50);
   }
-  const auto placing = placing_.find(flow);
-  if (placing == placing_.end()) return;
-  placing->second.refused.push_back(agent);
+  Placing& placing = placing_[flow];
+  if (placing.packet.empty()) {
+    // The agent had kept the SYN for a while.
+    placing.arrived = now - SynTimes::Unpack(head->echo).waited;
+    codec_.SetHop(packet, HopTag(), 0);
+    placing.packet.assign(packet, size);
+  }
+  placing.refused.push_back(agent);
   if (it != flows_.end()) {
     auto& tried = it->second.tried;
     tried.erase(std::remove(tried.begin(), tried.end(), agent), tried.end());
   }
-  Place(now, flow, *route, placing->second);
+  Place(now, flow, *route, placing);
 }
 
 void FlowBalancer::OnReport(TimePoint now, const schema::AgentReport& report) {
@@ -315,27 +372,40 @@
   ForgetOldFlows(now);
 }
 
+/** @return flows to place again, the most urgent ones first. */
+std::vector<Flow> FlowBalancer::DuePlacements(TimePoint now) const {
+  std::vector<std::pair<Urgency, Flow>> due;
+  for (const auto& [flow, placing] : placing_) {
+    if (now < placing.retry_at) continue;
+    Urgency urgency;
+    urgency.arrived = placing.arrived;
+    if (const Route* route = routes_.Find(flow.service)) {
+      urgency.priority = route->priority;
+      urgency.late = now - placing.arrived > route->target_latency;
+    }
+    due.emplace_back(urgency, flow);
+  }
+  std::sort(due.begin(), due.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<Flow> flows;
+  for (const auto& [urgency, flow] : due) flows.push_back(flow);
+  return flows;
+}
+
 void FlowBalancer::RetryPlacements(TimePoint now) {
-  for (auto it = placing_.begin(); it != placing_.end();) {
-    Placing& placing = it->second;
-    const Flow flow = it->first;
+  for (const Flow& flow : DuePlacements(now)) {
+    const auto it = placing_.find(flow);
     const Route* route = routes_.Find(flow.service);
-    if (route == nullptr) {
-      it = placing_.erase(it);
-      continue;
-    }
-    if (now >= placing.retry_at) {
-      // An agent that refused may have a free place by now.
-      placing.refused.clear();
-      Place(now, flow, *route, placing);
-    }
-    const bool waits_long = now - placing.arrived > kTargetWait;
     const bool sent = flows_.count(flow) != 0;
-    if (waits_long && !sent) {
-      ++counters_.resets_no_target;
-      Reset(flow, 0, "no-target");
+    // From then on the client's own copies of the SYN do.
+    const bool over = sent && now - it->second.arrived > kPlacingLimit;
+    if (route == nullptr || over) {
+      placing_.erase(it);
+      continue;
     }
-    it = waits_long ? placing_.erase(it) : std::next(it);
+    // An agent that refused may have a free place by now.
+    it->second.refused.clear();
+    Place(now, flow, *route, it->second);
   }
 }
 
--- a/packages/steering/src/placement.cc
+++ b/packages/steering/src/placement.cc
@@ -14,8 +14,6 @@
 constexpr double kOtherZoneCost = 0.34;
 // A target this much above its slots gives way to any other of the service.
 constexpr double kOverloadedCost = 1.0;
-// Share of its slots that a target offers while it starts slowly.
-constexpr double kSlowStartShare = 0.6;
 // Responses are compared with the service's usual time within these bounds.
 constexpr double kLeastSlowness = 0.8;
 constexpr double kMostSlowness = 8.0;
@@ -134,17 +132,13 @@
 
 double LeastWaitPlacement::Cost(TimePoint now, const AgentView& view,
                                 double usual_ms) const {
-  double slots = std::max(1, view.record.slots);
-  const auto slow_start = std::chrono::milliseconds(view.record.slow_start_ms);
-  if (now - view.listed_since < slow_start) slots *= kSlowStartShare;
   double slowness = 1;
   if (usual_ms > 0 && view.response > Duration::zero()) {
     slowness = std::clamp(Milliseconds(view.response) / usual_ms,
                           kLeastSlowness, kMostSlowness);
   }
-  const double work = view.waiting + view.opening + view.placed_since_report;
   const double zone = view.record.zone == zone_ ? 0 : kOtherZoneCost;
-  return work * slowness / slots + zone;
+  return WorkPerSlot(now, view) * slowness + zone;
 }
 
 }  // namespace sesamesaddle
--- a/packages/steering/src/route_table.cc
+++ b/packages/steering/src/route_table.cc
@@ -1,5 +1,7 @@
 #include "steering/route_table.h"
 
+#include <algorithm>
+
 #include "core/hash.h"
 #include "steering/packet.h"
 
@@ -9,6 +11,21 @@
   return static_cast<uint16_t>(Hash64(service));
 }
 
+uint32_t SynTimes::Pack() const {
+  static constexpr int64_t kMax = 0xffff;
+  const auto clip = [](Duration duration) {
+    const auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return static_cast<uint32_t>(std::clamp<int64_t>(ms, 0, kMax));
+  };
+  return (clip(waited) << 16) | clip(target_latency);
+}
+
+SynTimes SynTimes::Unpack(uint32_t packed) {
+  return {std::chrono::milliseconds(packed >> 16),
+          std::chrono::milliseconds(packed & 0xffff)};
+}
+
 const Route* RouteTable::Find(const Endpoint& address) const {
   const auto it = routes.find(address);
   return it == routes.end() ? nullptr : &it->second;
--- a/packages/steering/src/target_directory.cc
+++ b/packages/steering/src/target_directory.cc
@@ -5,6 +5,21 @@
 #include "steering/packet.h"
 
 namespace sesamesaddle {
+namespace {
+
+// Share of its slots that a target offers while it starts slowly.
+constexpr double kSlowStartShare = 0.6;
+
+}  // namespace
+
+double WorkPerSlot(TimePoint now, const AgentView& view) {
+  double slots = std::max(1, view.record.slots);
+  const auto slow_start = std::chrono::milliseconds(view.record.slow_start_ms);
+  if (now - view.listed_since < slow_start) slots *= kSlowStartShare;
+  const int work =
+      view.waiting + view.opening + view.queued + view.placed_since_report;
+  return work / slots;
+}
 
 void TargetDirectory::Put(TimePoint now, const std::string& key,
                           const schema::TargetRecord& record,
@@ -77,6 +92,7 @@
   view->flows = report.flows;
   view->response = Duration(report.response_us);
   view->placed_since_report = 0;
+  view->queued = report.queued;
   view->last_report = now;
   view->reported = true;
   view->unanswered = false;
--- a/packages/steering_daemon/include/steering_daemon/agent_process.h
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -58,6 +58,7 @@
   EventLoop::Timer report_timer_;
   EventLoop::Timer slow_timer_;
   bool report_timer_set_ = false;
+  TimePoint report_due_{};
   bool stopping_ = false;
   bool withdrawn_ = false;
   TimePoint stop_began_{};
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -204,18 +204,23 @@
 }
 
 void AgentProcess::ScheduleReports() {
-  if (report_timer_set_ || !agent_.busy()) return;
+  if (!agent_.busy()) return;
+  const TimePoint due =
+      parts_.loop.Now() + (agent_.urgent()     ? FlowAgent::kUrgentReportDelay
+                           : agent_.queueing() ? FlowAgent::kQueuePeriod
+                                               : FlowAgent::kReportPeriod);
+  if (report_timer_set_ && report_due_ <= due) return;
   report_timer_set_ = true;
-  const Duration delay = agent_.urgent() ? FlowAgent::kUrgentReportDelay
-                                         : FlowAgent::kReportPeriod;
-  report_timer_ = parts_.loop.After(delay, [this] { SendReports(); });
+  report_due_ = due;
+  report_timer_ =
+      parts_.loop.After(due - parts_.loop.Now(), [this] { SendReports(); });
 }
 
 void AgentProcess::SendReports() {
   report_timer_set_ = false;
   agent_.OnTick(parts_.loop.Now());
   control_->Flush();
-  ScheduleReports();
+  Flush();
 }
 
 void AgentProcess::SlowTick() {
@@ -248,6 +253,7 @@
       {"syns_total", c.syns},
       {"flows_accepted_total", c.accepted},
       {"syns_refused_total", c.refused},
+      {"syns_queued_total", c.queued},
       {"packets_returned_by_target_total", c.returned_by_target},
       {"packets_not_held_total", c.not_held},
       {"packets_of_other_service_total", c.wrong_service},
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -288,6 +288,8 @@
       {"flow_searches_total", c.searches},
       {"resets_no_route_total", c.resets_no_route},
       {"resets_no_target_total", c.resets_no_target},
+      {"resets_overload_total", c.resets_overload},
+      {"flows_waited_for_room_total", c.waited_for_room},
       {"resets_nobody_holds_total", c.resets_nobody_holds},
       {"resets_target_gone_total", c.resets_target_gone},
       {"resets_target_silent_total", c.resets_target_silent},
