--- a/packages/daemon/src/steering_command.cc
+++ b/packages/daemon/src/steering_command.cc
@@ -35,11 +35,15 @@
   }
 }
 
+// The usual port of Prometheus' exporters; also in deploy/system.toml.
+constexpr uint16_t kDefaultMetricsPort = 9464;
+
 struct Options {
   bool balancer = false;
   std::string settings_path = kDefaultSettingsPath;
   std::string placement = "least-wait";
   std::string log_level = "info";
+  uint16_t metrics_port = kDefaultMetricsPort;
   bool check_only = false;
 };
 
@@ -58,6 +62,11 @@
           },
           "LEVEL"))
       ->capture_default_str();
+  app->add_option("--metrics-port", options.metrics_port,
+                  "Port (TCP) of the metrics at the instance's address; 0: "
+                  "only at the peers' port")
+      ->envname("SESAMESADDLE_METRICS_PORT")
+      ->capture_default_str();
   app->add_flag("--check", options.check_only,
                 "Only check the settings; exit code 0 if they are usable");
 }
@@ -161,7 +170,7 @@
   }
   options.balancer = balancer->parsed();
   const SettingsFile file(options.settings_path);
-  const auto settings = file.Read();
+  auto settings = file.Read();
   std::string fault =
       settings ? MissingForRole(options, *settings) : settings.error();
   if (!fault.empty()) {
@@ -172,6 +181,7 @@
     puts("the settings are usable");
     return 0;
   }
+  settings->metrics_port = options.metrics_port;
   return Run(options, *settings, file);
 }
 
--- a/packages/steering_daemon/include/steering_daemon/agent_process.h
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -7,6 +7,7 @@
 #include "net/packet_socket.h"
 #include "registry/registration.h"
 #include "steering/flow_agent.h"
+#include "steering_daemon/settings_watcher.h"
 #include "steering_daemon/steering_process.h"
 
 namespace sesamesaddle {
@@ -38,6 +39,7 @@
   void Flush();
   void ScheduleReports();
   void SendReports();
+  void Reload(bool requested);
   void SlowTick();
   void BeginStop();
   void AdvanceStop();
@@ -47,6 +49,7 @@
 
   SteeringParts parts_;
   SteeringSettings settings_;
+  SettingsWatcher settings_watcher_;
   prometheus::Registry histograms_;
   LatencyHistogram response_times_;
   FlowAgent agent_;
@@ -55,6 +58,7 @@
   std::unique_ptr<PacketSocket> target_;
   std::unique_ptr<PacketSocket> control_;
   std::unique_ptr<HttpServer> inspection_;
+  std::unique_ptr<HttpServer> metrics_;
   EventLoop::Timer report_timer_;
   EventLoop::Timer slow_timer_;
   bool report_timer_set_ = false;
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -9,6 +9,7 @@
 #include "registry/replica_follower.h"
 #include "steering/flow_balancer.h"
 #include "steering_daemon/replica_exchange.h"
+#include "steering_daemon/settings_watcher.h"
 #include "steering_daemon/steering_process.h"
 
 namespace sesamesaddle {
@@ -48,12 +49,13 @@
   void SlowTick();
   void BeginStop();
   void AdvanceStop();
-  void Reload();
+  void AddSeeds();
   CounterValues Counters() const;
   std::string State();
 
   SteeringParts parts_;
   SteeringSettings settings_;
+  SettingsWatcher settings_watcher_;
   std::unique_ptr<PlacementPolicy> placement_;
   TargetDirectory directory_;
   FlowBalancer balancer_;
@@ -64,6 +66,7 @@
   std::unique_ptr<PacketSocket> agents_;
   std::unique_ptr<PacketSocket> control_;
   std::unique_ptr<HttpServer> inspection_;
+  std::unique_ptr<HttpServer> metrics_;
   EventLoop::Timer fast_timer_;
   EventLoop::Timer slow_timer_;
   EventLoop::Timer exchange_timer_;
--- a/packages/steering_daemon/include/steering_daemon/replica_exchange.h
+++ b/packages/steering_daemon/include/steering_daemon/replica_exchange.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "core/event_log.h"
 #include "core/random.h"
@@ -38,8 +40,10 @@
   void AddPeer(const std::string& key, const Endpoint& control,
                const Endpoint& replica);
   void RemovePeer(const std::string& key);
-  /** A balancer that may be asked before any peer is known. */
-  void AddSeed(const Endpoint& replica);
+  /** Balancers that may be asked before any peer is known. */
+  void SetSeeds(std::vector<Endpoint> replicas) {
+    seeds_ = std::move(replicas);
+  }
 
   /** Call it every kPeriod. */
   void OnPeriod();
--- a/packages/steering_daemon/include/steering_daemon/steering_process.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_process.h
@@ -39,7 +39,7 @@
   const PacketCodec& codec;
   const ConfigurationDecoder& decoder;
   const SettingsSource& settings_source;
-  const SignalFlags& signals;
+  SignalFlags& signals;
 };
 
 /** A process that steers flows: a balancer or an agent. */
@@ -75,6 +75,15 @@
 tl::expected<std::unique_ptr<HttpServer>, NetError> OpenInspection(
     EventLoop& loop, const Endpoint& listen, InspectionSources sources);
 
+/**
+ * Serves the same at the metrics port, if one is set. A port that is taken is
+ * logged and done without.
+ */
+std::unique_ptr<HttpServer> OpenMetrics(EventLoop& loop,
+                                        const SteeringSettings& settings,
+                                        EventLog& log,
+                                        const InspectionSources& sources);
+
 }  // namespace sesamesaddle
 
 #endif  // SESAMESADDLE_STEERING_DAEMON_STEERING_PROCESS_H_
--- a/packages/steering_daemon/include/steering_daemon/steering_settings.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_settings.h
@@ -34,6 +34,8 @@
   uint16_t last_port = 0;
   /** Balancers that may serve their replica at the start. */
   std::vector<Endpoint> seeds;
+  /** Where metrics are served besides the peers' ports; 0: nowhere. */
+  uint16_t metrics_port = 0;
   /** A flow older than this may be forgotten. */
   Duration flow_lifetime = std::chrono::seconds(60);
   /** Time from SIGTERM until the process is killed. */
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -29,6 +29,7 @@
 AgentProcess::AgentProcess(SteeringParts parts, SteeringSettings settings)
     : parts_(parts),
       settings_(std::move(settings)),
+      settings_watcher_(parts.settings_source, parts.log),
       response_times_(histograms_, "response_seconds",
                       "From the first packet of a request at the target to the "
                       "first packet of its answer"),
@@ -38,11 +39,14 @@
 tl::expected<void, NetError> AgentProcess::Open() {
   auto opened = OpenSockets();
   if (!opened) return opened;
+  const InspectionSources sources{
+      [this] { return FormatMetrics(Counters(), &histograms_); },
+      [this] { return State(); }, nullptr};
   auto inspection = OpenInspection(
       parts_.loop, PeerEndpoint(settings_, settings_.ip, PeerPort::kReplica),
-      {[this] { return FormatMetrics(Counters(), &histograms_); },
-       [this] { return State(); }, nullptr});
+      sources);
   if (!inspection) return tl::unexpected(inspection.error());
+  metrics_ = OpenMetrics(parts_.loop, settings_, parts_.log, sources);
   inspection_ = std::move(*inspection);
   return {};
 }
@@ -91,13 +95,8 @@
 bool AgentProcess::ServiceIsOurs(const std::string& service) {
   if (service == settings_.service) return true;
   // The settings may have changed without a signal.
-  auto settings = parts_.settings_source.Read();
-  if (!settings || settings->service != service) return false;
-  LogLine(parts_.log, EventKind::kProcess, kPart, "reload")
-      .Add("service", settings->service)
-      .Add("before", settings_.service);
-  settings_.service = settings->service;
-  return true;
+  Reload(true);
+  return service == settings_.service;
 }
 
 tl::expected<void, std::string> AgentProcess::OnAnnouncement(
@@ -223,7 +222,14 @@
   Flush();
 }
 
+void AgentProcess::Reload(bool requested) {
+  const auto changed =
+      settings_watcher_.Check(parts_.loop.Now(), requested, settings_);
+  if (changed) settings_ = *changed;
+}
+
 void AgentProcess::SlowTick() {
+  Reload(parts_.signals.reload.exchange(false));
   if (parts_.signals.stop && !stopping_) BeginStop();
   if (stopping_) AdvanceStop();
 }
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -34,6 +34,7 @@
                                  std::unique_ptr<PlacementPolicy> placement)
     : parts_(parts),
       settings_(std::move(settings)),
+      settings_watcher_(parts.settings_source, parts.log),
       placement_(std::move(placement)),
       balancer_(settings_.zone, parts.codec, directory_, *placement_, *this,
                 parts.log),
@@ -52,18 +53,27 @@
 tl::expected<void, NetError> BalancerProcess::Open() {
   auto opened = OpenSockets();
   if (!opened) return opened;
+  const InspectionSources sources{
+      [this] { return FormatMetrics(Counters(), nullptr); },
+      [this] { return State(); },
+      [this] { return EncodeCompact(follower_.Snapshot()); }};
   auto inspection = OpenInspection(
       parts_.loop, PeerEndpoint(settings_, settings_.ip, PeerPort::kReplica),
-      {[this] { return FormatMetrics(Counters(), nullptr); },
-       [this] { return State(); },
-       [this] { return EncodeCompact(follower_.Snapshot()); }});
+      sources);
   if (!inspection) return tl::unexpected(inspection.error());
+  metrics_ = OpenMetrics(parts_.loop, settings_, parts_.log, sources);
   inspection_ = std::move(*inspection);
+  AddSeeds();
+  return {};
+}
+
+void BalancerProcess::AddSeeds() {
+  std::vector<Endpoint> replicas;
   for (const Endpoint& seed : settings_.seeds) {
     if (seed.ip() == settings_.ip) continue;
-    exchange_.AddSeed(PeerEndpoint(settings_, seed.ip(), PeerPort::kReplica));
+    replicas.push_back(PeerEndpoint(settings_, seed.ip(), PeerPort::kReplica));
   }
-  return {};
+  exchange_.SetSeeds(std::move(replicas));
 }
 
 tl::expected<void, NetError> BalancerProcess::OpenSockets() {
@@ -256,6 +266,12 @@
   if (!gone.empty()) balancer_.OnAgentsGone(now, gone);
   balancer_.OnTick(now);
   Flush();
+  const auto changed = settings_watcher_.Check(
+      now, parts_.signals.reload.exchange(false), settings_);
+  if (changed) {
+    settings_ = *changed;
+    AddSeeds();
+  }
   if (parts_.signals.stop && !stopping_) BeginStop();
   if (stopping_) AdvanceStop();
 }
--- a/packages/steering_daemon/src/replica_exchange.cc
+++ b/packages/steering_daemon/src/replica_exchange.cc
@@ -28,10 +28,6 @@
 
 void ReplicaExchange::RemovePeer(const std::string& key) { peers_.erase(key); }
 
-void ReplicaExchange::AddSeed(const Endpoint& replica) {
-  seeds_.push_back(replica);
-}
-
 schema::ReplicaVersion ReplicaExchange::OwnVersion() const {
   schema::ReplicaVersion version;
   version.directory_revision = follower_.directory_revision();
--- /dev/null
+++ b/packages/steering_daemon/src/settings_watcher.cc
@@ -0,0 +1,53 @@
+#include "steering_daemon/settings_watcher.h"
+
+namespace sesamesaddle {
+namespace {
+
+constexpr char kPart[] = "settings";
+
+bool SameAddresses(const SteeringSettings& a, const SteeringSettings& b) {
+  return a.ip == b.ip && a.packets == b.packets && a.outbound == b.outbound &&
+         a.readiness == b.readiness && a.control == b.control &&
+         a.target == b.target && a.store == b.store &&
+         a.first_port == b.first_port;
+}
+
+bool SameRest(const SteeringSettings& a, const SteeringSettings& b) {
+  return a.service == b.service && a.seeds == b.seeds &&
+         a.flow_lifetime == b.flow_lifetime && a.stop_grace == b.stop_grace;
+}
+
+}  // namespace
+
+std::optional<SteeringSettings> SettingsWatcher::Check(
+    TimePoint now, bool requested, const SteeringSettings& current) {
+  if (!requested && now < next_look_) return std::nullopt;
+  next_look_ = now + kPeriod;
+  const auto read = source_.Read();
+  if (!read) {
+    if (requested || read.error() != last_fault_) {
+      LogLine(log_, EventKind::kProcess, kPart, "reload-refused")
+          .Add("reason", "\"" + read.error() + "\"");
+    }
+    last_fault_ = read.error();
+    return std::nullopt;
+  }
+  last_fault_.clear();
+  const bool same_addresses = SameAddresses(*read, current);
+  const bool changed = !SameRest(*read, current);
+  if (requested || changed) {
+    LogLine(log_, EventKind::kProcess, kPart, "reload")
+        .Add("requested", requested)
+        .Add("changed", changed)
+        .Add("restart_needed_for_addresses", !same_addresses);
+  }
+  if (!changed) return std::nullopt;
+  SteeringSettings next = current;
+  next.service = read->service;
+  next.seeds = read->seeds;
+  next.flow_lifetime = read->flow_lifetime;
+  next.stop_grace = read->stop_grace;
+  return next;
+}
+
+}  // namespace sesamesaddle
--- a/packages/steering_daemon/src/steering_process.cc
+++ b/packages/steering_daemon/src/steering_process.cc
@@ -35,4 +35,18 @@
       });
 }
 
+std::unique_ptr<HttpServer> OpenMetrics(EventLoop& loop,
+                                        const SteeringSettings& settings,
+                                        EventLog& log,
+                                        const InspectionSources& sources) {
+  if (settings.metrics_port == 0) return nullptr;
+  auto server = OpenInspection(
+      loop, Endpoint(settings.ip, settings.metrics_port), sources);
+  if (server) return std::move(*server);
+  LogLine(log, EventKind::kDependency, "daemon", "metrics-not-served")
+      .Add("port", settings.metrics_port)
+      .Add("reason", "\"" + server.error().message + "\"");
+  return nullptr;
+}
+
 }  // namespace sesamesaddle
--- a/packages/steering_daemon/tests/steering_daemon_test.cc
+++ b/packages/steering_daemon/tests/steering_daemon_test.cc
@@ -5,6 +5,7 @@
 #include "core/time.h"
 #include "steering_daemon/metrics.h"
 #include "steering_daemon/rate_limited_log.h"
+#include "steering_daemon/settings_watcher.h"
 #include "steering_daemon/steering_settings.h"
 
 namespace sesamesaddle {
@@ -63,6 +64,48 @@
         std::string::npos);
 }
 
+/** Settings that the test changes. */
+class FakeSource : public SettingsSource {
+ public:
+  tl::expected<SteeringSettings, std::string> Read() const override {
+    ++reads;
+    if (!fault.empty()) return tl::unexpected(fault);
+    return settings;
+  }
+  SteeringSettings settings;
+  std::string fault;
+  mutable int reads = 0;
+};
+
+TEST_CASE("Settings are read again on a signal and when they change silently") {
+  ManualClock clock;
+  std::vector<std::string> lines;
+  RateLimitedLog log(clock,
+                     [&](const std::string& line) { lines.push_back(line); });
+  FakeSource source;
+  const SteeringSettings current;
+  SettingsWatcher watcher(source, log);
+  CHECK_FALSE(watcher.Check(clock.now, false, current));
+  CHECK_FALSE(watcher.Check(clock.now, false, current));
+  CHECK(source.reads == 1);
+  CHECK_FALSE(watcher.Check(clock.now, true, current));
+  CHECK(lines.size() == 1);
+  source.settings.service = "orders";
+  source.settings.packets = Endpoint(1, 2);
+  clock.now += SettingsWatcher::kPeriod;
+  const auto changed = watcher.Check(clock.now, false, current);
+  REQUIRE(changed.has_value());
+  CHECK(changed->service == "orders");
+  CHECK(changed->packets == current.packets);  // Sockets stay.
+  CHECK(lines.back() ==
+        "settings: event=reload requested=0 changed=1 "
+        "restart_needed_for_addresses=1");
+  source.fault = "zone: a text is expected";
+  CHECK_FALSE(watcher.Check(clock.now, true, current));
+  CHECK(lines.back() ==
+        "settings: event=reload-refused reason=\"zone: a text is expected\"");
+}
+
 TEST_CASE("Peers are reached at offsets of the first port") {
   SteeringSettings settings;
   settings.first_port = 7720;
