--- a/packages/daemon/src/steering_command.cc
+++ b/packages/daemon/src/steering_command.cc
@@ -71,12 +71,6 @@
                 "Only check the settings; exit code 0 if they are usable");
 }
 
-std::unique_ptr<PlacementPolicy> MakePlacement(const Options& options,
-                                               const std::string& zone) {
-  if (options.placement == "hash") return std::make_unique<HashPlacement>();
-  return std::make_unique<LeastWaitPlacement>(zone);
-}
-
 /** @return what the role needs and the settings lack, or "". */
 std::string MissingForRole(const Options& options,
                            const SteeringSettings& settings) {
@@ -125,7 +119,9 @@
   std::unique_ptr<SteeringProcess> process;
   if (options.balancer) {
     process = std::make_unique<BalancerProcess>(
-        parts, settings, MakePlacement(options, settings.zone));
+        parts, settings,
+        options.placement == "hash" ? PlacementKind::kHash
+                                    : PlacementKind::kLeastWait);
   } else {
     process = std::make_unique<AgentProcess>(parts, settings);
   }
--- a/packages/registry/include/registry/registration.h
+++ b/packages/registry/include/registry/registration.h
@@ -14,10 +14,10 @@
 
 /** Times of a registration. */
 struct RegistrationTimes {
-  Duration lease = std::chrono::seconds(5);
-  Duration renewal = std::chrono::milliseconds(1500);
+  Duration lease = std::chrono::seconds(6);
+  Duration renewal = std::chrono::seconds(2);
   /** The key itself is read again this often: it may go without its lease. */
-  Duration check = std::chrono::seconds(10);
+  Duration check = std::chrono::seconds(30);
   /** Waits between tries while the store fails, doubled up to the second. */
   Duration first_retry = std::chrono::milliseconds(250);
   Duration last_retry = std::chrono::seconds(1);
--- a/packages/registry/include/registry/replica_follower.h
+++ b/packages/registry/include/registry/replica_follower.h
@@ -34,10 +34,17 @@
 
 /** Times of following the store. */
 struct FollowerTimes {
-  /** A waiting watch; one that went silent is noticed after it. */
-  Duration watch = std::chrono::seconds(3);
+  /**
+   * A waiting watch; one that went silent is noticed after it. With the time
+   * for a call it stays under the bound on a change in force.
+   */
+  Duration watch = std::chrono::seconds(5);
   /** Changes that come close together are fetched together. */
-  Duration gather = std::chrono::milliseconds(100);
+  Duration gather = std::chrono::milliseconds(800);
+  /** The same while a fleet starts and each entry is needed at once. */
+  Duration gather_at_start = std::chrono::milliseconds(100);
+  /** So long after the start, or after the store's return, it is a start. */
+  Duration start = std::chrono::seconds(5);
   Duration first_retry = std::chrono::milliseconds(200);
   Duration last_retry = std::chrono::seconds(1);
 };
@@ -53,7 +60,7 @@
                   EventLog& log, ReplicaKeys keys, FollowerTimes times,
                   ReplicaListener& listener);
 
-  void Start() { List(); }
+  void Start();
   /** Takes a peer's copy if it is ahead. */
   void TakeSnapshot(const schema::ReplicaSnapshot& snapshot);
   /** @return the copy for a peer. */
@@ -82,6 +89,7 @@
   bool OfDirectory(const std::string& key) const;
   void OnFailure(StoreError error);
   void OnAnswer();
+  Duration GatherTime() const;
 
   Store& store_;
   Scheduler& scheduler_;
@@ -99,6 +107,7 @@
   bool list_needed_ = true;
   bool store_failed_ = false;
   TimePoint failed_since_{};
+  TimePoint started_{};
   Duration backoff_{};
 };
 
--- a/packages/registry/src/replica_follower.cc
+++ b/packages/registry/src/replica_follower.cc
@@ -32,6 +32,16 @@
                      keys_.directory_prefix) == 0;
 }
 
+void ReplicaFollower::Start() {
+  started_ = scheduler_.Now();
+  List();
+}
+
+Duration ReplicaFollower::GatherTime() const {
+  return scheduler_.Now() - started_ < times_.start ? times_.gather_at_start
+                                                    : times_.gather;
+}
+
 void ReplicaFollower::List() {
   list_needed_ = true;
   store_.List(kWholeStore, [this](auto list) {
@@ -86,7 +96,7 @@
           Watch();
           return;
         }
-        scheduler_.After(times_.gather, [this] { Watch(); });
+        scheduler_.After(GatherTime(), [this] { Watch(); });
       });
 }
 
@@ -183,6 +193,7 @@
   backoff_ = Duration::zero();
   if (!store_failed_) return;
   store_failed_ = false;
+  started_ = scheduler_.Now();
   LogLine(log_, EventKind::kDependency, kPart, "store-regained")
       .Add("out", scheduler_.Now() - failed_since_)
       .Add("revision", directory_revision_);
--- a/packages/schema/gen/steering_types.cpp
+++ b/packages/schema/gen/steering_types.cpp
@@ -581,6 +581,10 @@
 void AgentReport::__set_queued(const int32_t val) {
   this->queued = val;
 }
+
+void AgentReport::__set_unsure(const std::vector< ::sesamesaddle::schema::FlowKey> & val) {
+  this->unsure = val;
+}
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj)
 {
   obj.printTo(out);
@@ -614,6 +618,7 @@
   bool isset_restarting = false;
   bool isset_silent = false;
   bool isset_queued = false;
+  bool isset_unsure = false;
 
   while (true)
   {
@@ -773,6 +778,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unsure.clear();
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->unsure.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
+            {
+              xfer += this->unsure[_i29].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_unsure = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -810,6 +835,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_queued)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_unsure)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -853,10 +880,10 @@
   xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accepted.size()));
-    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter25;
-    for (_iter25 = this->accepted.begin(); _iter25 != this->accepted.end(); ++_iter25)
+    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter30;
+    for (_iter30 = this->accepted.begin(); _iter30 != this->accepted.end(); ++_iter30)
     {
-      xfer += (*_iter25).write(oprot);
+      xfer += (*_iter30).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -865,10 +892,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter26;
-    for (_iter26 = this->held.begin(); _iter26 != this->held.end(); ++_iter26)
+    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter31;
+    for (_iter31 = this->held.begin(); _iter31 != this->held.end(); ++_iter31)
     {
-      xfer += (*_iter26).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -877,10 +904,10 @@
   xfer += oprot->writeFieldBegin("not_held", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->not_held.size()));
-    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter27;
-    for (_iter27 = this->not_held.begin(); _iter27 != this->not_held.end(); ++_iter27)
+    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter32;
+    for (_iter32 = this->not_held.begin(); _iter32 != this->not_held.end(); ++_iter32)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter32).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -898,6 +925,18 @@
   xfer += oprot->writeI32(this->queued);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unsure", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unsure.size()));
+    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter33;
+    for (_iter33 = this->unsure.begin(); _iter33 != this->unsure.end(); ++_iter33)
+    {
+      xfer += (*_iter33).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -919,72 +958,77 @@
   swap(a.restarting, b.restarting);
   swap(a.silent, b.silent);
   swap(a.queued, b.queued);
-}
-
-AgentReport::AgentReport(const AgentReport& other28) {
-  agent = other28.agent;
-  service_name = other28.service_name;
-  state = other28.state;
-  slots = other28.slots;
-  waiting = other28.waiting;
-  opening = other28.opening;
-  flows = other28.flows;
-  response_us = other28.response_us;
-  accepted = other28.accepted;
-  held = other28.held;
-  not_held = other28.not_held;
-  restarting = other28.restarting;
-  silent = other28.silent;
-  queued = other28.queued;
-}
-AgentReport::AgentReport(AgentReport&& other29) noexcept {
-  agent = other29.agent;
-  service_name = std::move(other29.service_name);
-  state = other29.state;
-  slots = other29.slots;
-  waiting = other29.waiting;
-  opening = other29.opening;
-  flows = other29.flows;
-  response_us = other29.response_us;
-  accepted = std::move(other29.accepted);
-  held = std::move(other29.held);
-  not_held = std::move(other29.not_held);
-  restarting = other29.restarting;
-  silent = other29.silent;
-  queued = other29.queued;
-}
-AgentReport& AgentReport::operator=(const AgentReport& other30) {
-  agent = other30.agent;
-  service_name = other30.service_name;
-  state = other30.state;
-  slots = other30.slots;
-  waiting = other30.waiting;
-  opening = other30.opening;
-  flows = other30.flows;
-  response_us = other30.response_us;
-  accepted = other30.accepted;
-  held = other30.held;
-  not_held = other30.not_held;
-  restarting = other30.restarting;
-  silent = other30.silent;
-  queued = other30.queued;
+  swap(a.unsure, b.unsure);
+}
+
+AgentReport::AgentReport(const AgentReport& other34) {
+  agent = other34.agent;
+  service_name = other34.service_name;
+  state = other34.state;
+  slots = other34.slots;
+  waiting = other34.waiting;
+  opening = other34.opening;
+  flows = other34.flows;
+  response_us = other34.response_us;
+  accepted = other34.accepted;
+  held = other34.held;
+  not_held = other34.not_held;
+  restarting = other34.restarting;
+  silent = other34.silent;
+  queued = other34.queued;
+  unsure = other34.unsure;
+}
+AgentReport::AgentReport(AgentReport&& other35) noexcept {
+  agent = other35.agent;
+  service_name = std::move(other35.service_name);
+  state = other35.state;
+  slots = other35.slots;
+  waiting = other35.waiting;
+  opening = other35.opening;
+  flows = other35.flows;
+  response_us = other35.response_us;
+  accepted = std::move(other35.accepted);
+  held = std::move(other35.held);
+  not_held = std::move(other35.not_held);
+  restarting = other35.restarting;
+  silent = other35.silent;
+  queued = other35.queued;
+  unsure = std::move(other35.unsure);
+}
+AgentReport& AgentReport::operator=(const AgentReport& other36) {
+  agent = other36.agent;
+  service_name = other36.service_name;
+  state = other36.state;
+  slots = other36.slots;
+  waiting = other36.waiting;
+  opening = other36.opening;
+  flows = other36.flows;
+  response_us = other36.response_us;
+  accepted = other36.accepted;
+  held = other36.held;
+  not_held = other36.not_held;
+  restarting = other36.restarting;
+  silent = other36.silent;
+  queued = other36.queued;
+  unsure = other36.unsure;
   return *this;
 }
-AgentReport& AgentReport::operator=(AgentReport&& other31) noexcept {
-  agent = other31.agent;
-  service_name = std::move(other31.service_name);
-  state = other31.state;
-  slots = other31.slots;
-  waiting = other31.waiting;
-  opening = other31.opening;
-  flows = other31.flows;
-  response_us = other31.response_us;
-  accepted = std::move(other31.accepted);
-  held = std::move(other31.held);
-  not_held = std::move(other31.not_held);
-  restarting = other31.restarting;
-  silent = other31.silent;
-  queued = other31.queued;
+AgentReport& AgentReport::operator=(AgentReport&& other37) noexcept {
+  agent = other37.agent;
+  service_name = std::move(other37.service_name);
+  state = other37.state;
+  slots = other37.slots;
+  waiting = other37.waiting;
+  opening = other37.opening;
+  flows = other37.flows;
+  response_us = other37.response_us;
+  accepted = std::move(other37.accepted);
+  held = std::move(other37.held);
+  not_held = std::move(other37.not_held);
+  restarting = other37.restarting;
+  silent = other37.silent;
+  queued = other37.queued;
+  unsure = std::move(other37.unsure);
   return *this;
 }
 void AgentReport::printTo(std::ostream& out) const {
@@ -1004,6 +1048,126 @@
   out << ", " << "restarting=" << to_string(restarting);
   out << ", " << "silent=" << to_string(silent);
   out << ", " << "queued=" << to_string(queued);
+  out << ", " << "unsure=" << to_string(unsure);
+  out << ")";
+}
+
+
+FlowQuery::~FlowQuery() noexcept {
+}
+
+
+void FlowQuery::__set_flows(const std::vector< ::sesamesaddle::schema::FlowKey> & val) {
+  this->flows = val;
+}
+std::ostream& operator<<(std::ostream& out, const FlowQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FlowQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_flows = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->flows.clear();
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->flows.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
+            {
+              xfer += this->flows[_i42].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_flows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_flows)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t FlowQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FlowQuery");
+
+  xfer += oprot->writeFieldBegin("flows", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->flows.size()));
+    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter43;
+    for (_iter43 = this->flows.begin(); _iter43 != this->flows.end(); ++_iter43)
+    {
+      xfer += (*_iter43).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FlowQuery &a, FlowQuery &b) {
+  using ::std::swap;
+  swap(a.flows, b.flows);
+}
+
+FlowQuery::FlowQuery(const FlowQuery& other44) {
+  flows = other44.flows;
+}
+FlowQuery::FlowQuery(FlowQuery&& other45) noexcept {
+  flows = std::move(other45.flows);
+}
+FlowQuery& FlowQuery::operator=(const FlowQuery& other46) {
+  flows = other46.flows;
+  return *this;
+}
+FlowQuery& FlowQuery::operator=(FlowQuery&& other47) noexcept {
+  flows = std::move(other47.flows);
+  return *this;
+}
+void FlowQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FlowQuery(";
+  out << "flows=" << to_string(flows);
   out << ")";
 }
 
@@ -1105,22 +1269,22 @@
   swap(a.configuration_revision, b.configuration_revision);
 }
 
-ReplicaVersion::ReplicaVersion(const ReplicaVersion& other32) noexcept {
-  directory_revision = other32.directory_revision;
-  configuration_revision = other32.configuration_revision;
+ReplicaVersion::ReplicaVersion(const ReplicaVersion& other48) noexcept {
+  directory_revision = other48.directory_revision;
+  configuration_revision = other48.configuration_revision;
 }
-ReplicaVersion::ReplicaVersion(ReplicaVersion&& other33) noexcept {
-  directory_revision = other33.directory_revision;
-  configuration_revision = other33.configuration_revision;
+ReplicaVersion::ReplicaVersion(ReplicaVersion&& other49) noexcept {
+  directory_revision = other49.directory_revision;
+  configuration_revision = other49.configuration_revision;
 }
-ReplicaVersion& ReplicaVersion::operator=(const ReplicaVersion& other34) noexcept {
-  directory_revision = other34.directory_revision;
-  configuration_revision = other34.configuration_revision;
+ReplicaVersion& ReplicaVersion::operator=(const ReplicaVersion& other50) noexcept {
+  directory_revision = other50.directory_revision;
+  configuration_revision = other50.configuration_revision;
   return *this;
 }
-ReplicaVersion& ReplicaVersion::operator=(ReplicaVersion&& other35) noexcept {
-  directory_revision = other35.directory_revision;
-  configuration_revision = other35.configuration_revision;
+ReplicaVersion& ReplicaVersion::operator=(ReplicaVersion&& other51) noexcept {
+  directory_revision = other51.directory_revision;
+  configuration_revision = other51.configuration_revision;
   return *this;
 }
 void ReplicaVersion::printTo(std::ostream& out) const {
@@ -1249,26 +1413,26 @@
   swap(a.revision, b.revision);
 }
 
-ReplicaEntry::ReplicaEntry(const ReplicaEntry& other36) {
-  key = other36.key;
-  value = other36.value;
-  revision = other36.revision;
+ReplicaEntry::ReplicaEntry(const ReplicaEntry& other52) {
+  key = other52.key;
+  value = other52.value;
+  revision = other52.revision;
 }
-ReplicaEntry::ReplicaEntry(ReplicaEntry&& other37) noexcept {
-  key = std::move(other37.key);
-  value = std::move(other37.value);
-  revision = other37.revision;
+ReplicaEntry::ReplicaEntry(ReplicaEntry&& other53) noexcept {
+  key = std::move(other53.key);
+  value = std::move(other53.value);
+  revision = other53.revision;
 }
-ReplicaEntry& ReplicaEntry::operator=(const ReplicaEntry& other38) {
-  key = other38.key;
-  value = other38.value;
-  revision = other38.revision;
+ReplicaEntry& ReplicaEntry::operator=(const ReplicaEntry& other54) {
+  key = other54.key;
+  value = other54.value;
+  revision = other54.revision;
   return *this;
 }
-ReplicaEntry& ReplicaEntry::operator=(ReplicaEntry&& other39) noexcept {
-  key = std::move(other39.key);
-  value = std::move(other39.value);
-  revision = other39.revision;
+ReplicaEntry& ReplicaEntry::operator=(ReplicaEntry&& other55) noexcept {
+  key = std::move(other55.key);
+  value = std::move(other55.value);
+  revision = other55.revision;
   return *this;
 }
 void ReplicaEntry::printTo(std::ostream& out) const {
@@ -1347,14 +1511,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->entries.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->entries.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->entries[_i44].read(iprot);
+              xfer += this->entries[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1397,10 +1561,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<ReplicaEntry> ::const_iterator _iter45;
-    for (_iter45 = this->entries.begin(); _iter45 != this->entries.end(); ++_iter45)
+    std::vector<ReplicaEntry> ::const_iterator _iter61;
+    for (_iter61 = this->entries.begin(); _iter61 != this->entries.end(); ++_iter61)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1418,26 +1582,26 @@
   swap(a.entries, b.entries);
 }
 
-ReplicaSnapshot::ReplicaSnapshot(const ReplicaSnapshot& other46) {
-  version = other46.version;
-  configuration = other46.configuration;
-  entries = other46.entries;
+ReplicaSnapshot::ReplicaSnapshot(const ReplicaSnapshot& other62) {
+  version = other62.version;
+  configuration = other62.configuration;
+  entries = other62.entries;
 }
-ReplicaSnapshot::ReplicaSnapshot(ReplicaSnapshot&& other47) noexcept {
-  version = std::move(other47.version);
-  configuration = std::move(other47.configuration);
-  entries = std::move(other47.entries);
+ReplicaSnapshot::ReplicaSnapshot(ReplicaSnapshot&& other63) noexcept {
+  version = std::move(other63.version);
+  configuration = std::move(other63.configuration);
+  entries = std::move(other63.entries);
 }
-ReplicaSnapshot& ReplicaSnapshot::operator=(const ReplicaSnapshot& other48) {
-  version = other48.version;
-  configuration = other48.configuration;
-  entries = other48.entries;
+ReplicaSnapshot& ReplicaSnapshot::operator=(const ReplicaSnapshot& other64) {
+  version = other64.version;
+  configuration = other64.configuration;
+  entries = other64.entries;
   return *this;
 }
-ReplicaSnapshot& ReplicaSnapshot::operator=(ReplicaSnapshot&& other49) noexcept {
-  version = std::move(other49.version);
-  configuration = std::move(other49.configuration);
-  entries = std::move(other49.entries);
+ReplicaSnapshot& ReplicaSnapshot::operator=(ReplicaSnapshot&& other65) noexcept {
+  version = std::move(other65.version);
+  configuration = std::move(other65.configuration);
+  entries = std::move(other65.entries);
   return *this;
 }
 void ReplicaSnapshot::printTo(std::ostream& out) const {
@@ -1463,6 +1627,11 @@
   this->version = val;
 __isset.version = true;
 }
+
+void SteeringMessage::__set_query(const FlowQuery& val) {
+  this->query = val;
+__isset.query = true;
+}
 std::ostream& operator<<(std::ostream& out, const SteeringMessage& obj)
 {
   obj.printTo(out);
@@ -1507,6 +1676,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->query.read(iprot);
+          this->__isset.query = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1534,6 +1711,11 @@
     xfer += this->version.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.query) {
+    xfer += oprot->writeFieldBegin("query", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->query.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1543,29 +1725,34 @@
   using ::std::swap;
   swap(a.report, b.report);
   swap(a.version, b.version);
+  swap(a.query, b.query);
   swap(a.__isset, b.__isset);
 }
 
-SteeringMessage::SteeringMessage(const SteeringMessage& other50) {
-  report = other50.report;
-  version = other50.version;
-  __isset = other50.__isset;
+SteeringMessage::SteeringMessage(const SteeringMessage& other66) {
+  report = other66.report;
+  version = other66.version;
+  query = other66.query;
+  __isset = other66.__isset;
 }
-SteeringMessage::SteeringMessage(SteeringMessage&& other51) noexcept {
-  report = std::move(other51.report);
-  version = std::move(other51.version);
-  __isset = other51.__isset;
+SteeringMessage::SteeringMessage(SteeringMessage&& other67) noexcept {
+  report = std::move(other67.report);
+  version = std::move(other67.version);
+  query = std::move(other67.query);
+  __isset = other67.__isset;
 }
-SteeringMessage& SteeringMessage::operator=(const SteeringMessage& other52) {
-  report = other52.report;
-  version = other52.version;
-  __isset = other52.__isset;
+SteeringMessage& SteeringMessage::operator=(const SteeringMessage& other68) {
+  report = other68.report;
+  version = other68.version;
+  query = other68.query;
+  __isset = other68.__isset;
   return *this;
 }
-SteeringMessage& SteeringMessage::operator=(SteeringMessage&& other53) noexcept {
-  report = std::move(other53.report);
-  version = std::move(other53.version);
-  __isset = other53.__isset;
+SteeringMessage& SteeringMessage::operator=(SteeringMessage&& other69) noexcept {
+  report = std::move(other69.report);
+  version = std::move(other69.version);
+  query = std::move(other69.query);
+  __isset = other69.__isset;
   return *this;
 }
 void SteeringMessage::printTo(std::ostream& out) const {
@@ -1573,6 +1760,7 @@
   out << "SteeringMessage(";
   out << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
   out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
+  out << ", " << "query="; (__isset.query ? (out << to_string(query)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1700,14 +1888,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->targets.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->targets.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->targets[_i58].read(iprot);
+              xfer += this->targets[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1720,17 +1908,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->counters.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _ktype60;
-            ::apache::thrift::protocol::TType _vtype61;
-            xfer += iprot->readMapBegin(_ktype60, _vtype61, _size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _ktype76;
+            ::apache::thrift::protocol::TType _vtype77;
+            xfer += iprot->readMapBegin(_ktype76, _vtype77, _size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              std::string _key64;
-              xfer += iprot->readString(_key64);
-              int64_t& _val65 = this->counters[_key64];
-              xfer += iprot->readI64(_val65);
+              std::string _key80;
+              xfer += iprot->readString(_key80);
+              int64_t& _val81 = this->counters[_key80];
+              xfer += iprot->readI64(_val81);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1799,10 +1987,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetRecord> ::const_iterator _iter66;
-    for (_iter66 = this->targets.begin(); _iter66 != this->targets.end(); ++_iter66)
+    std::vector<TargetRecord> ::const_iterator _iter82;
+    for (_iter82 = this->targets.begin(); _iter82 != this->targets.end(); ++_iter82)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1811,11 +1999,11 @@
   xfer += oprot->writeFieldBegin("counters", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->counters.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter67;
-    for (_iter67 = this->counters.begin(); _iter67 != this->counters.end(); ++_iter67)
+    std::map<std::string, int64_t> ::const_iterator _iter83;
+    for (_iter83 = this->counters.begin(); _iter83 != this->counters.end(); ++_iter83)
     {
-      xfer += oprot->writeString(_iter67->first);
-      xfer += oprot->writeI64(_iter67->second);
+      xfer += oprot->writeString(_iter83->first);
+      xfer += oprot->writeI64(_iter83->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1838,46 +2026,46 @@
   swap(a.counters, b.counters);
 }
 
-SteeringState::SteeringState(const SteeringState& other68) {
-  name = other68.name;
-  role = other68.role;
-  zone = other68.zone;
-  ready = other68.ready;
-  stopping = other68.stopping;
-  version = other68.version;
-  targets = other68.targets;
-  counters = other68.counters;
-}
-SteeringState::SteeringState(SteeringState&& other69) noexcept {
-  name = std::move(other69.name);
-  role = std::move(other69.role);
-  zone = std::move(other69.zone);
-  ready = other69.ready;
-  stopping = other69.stopping;
-  version = std::move(other69.version);
-  targets = std::move(other69.targets);
-  counters = std::move(other69.counters);
-}
-SteeringState& SteeringState::operator=(const SteeringState& other70) {
-  name = other70.name;
-  role = other70.role;
-  zone = other70.zone;
-  ready = other70.ready;
-  stopping = other70.stopping;
-  version = other70.version;
-  targets = other70.targets;
-  counters = other70.counters;
+SteeringState::SteeringState(const SteeringState& other84) {
+  name = other84.name;
+  role = other84.role;
+  zone = other84.zone;
+  ready = other84.ready;
+  stopping = other84.stopping;
+  version = other84.version;
+  targets = other84.targets;
+  counters = other84.counters;
+}
+SteeringState::SteeringState(SteeringState&& other85) noexcept {
+  name = std::move(other85.name);
+  role = std::move(other85.role);
+  zone = std::move(other85.zone);
+  ready = other85.ready;
+  stopping = other85.stopping;
+  version = std::move(other85.version);
+  targets = std::move(other85.targets);
+  counters = std::move(other85.counters);
+}
+SteeringState& SteeringState::operator=(const SteeringState& other86) {
+  name = other86.name;
+  role = other86.role;
+  zone = other86.zone;
+  ready = other86.ready;
+  stopping = other86.stopping;
+  version = other86.version;
+  targets = other86.targets;
+  counters = other86.counters;
   return *this;
 }
-SteeringState& SteeringState::operator=(SteeringState&& other71) noexcept {
-  name = std::move(other71.name);
-  role = std::move(other71.role);
-  zone = std::move(other71.zone);
-  ready = other71.ready;
-  stopping = other71.stopping;
-  version = std::move(other71.version);
-  targets = std::move(other71.targets);
-  counters = std::move(other71.counters);
+SteeringState& SteeringState::operator=(SteeringState&& other87) noexcept {
+  name = std::move(other87.name);
+  role = std::move(other87.role);
+  zone = std::move(other87.zone);
+  ready = other87.ready;
+  stopping = other87.stopping;
+  version = std::move(other87.version);
+  targets = std::move(other87.targets);
+  counters = std::move(other87.counters);
   return *this;
 }
 void SteeringState::printTo(std::ostream& out) const {
--- a/packages/schema/gen/steering_types.h
+++ b/packages/schema/gen/steering_types.h
@@ -43,6 +43,8 @@
 
 class AgentReport;
 
+class FlowQuery;
+
 class ReplicaVersion;
 
 class ReplicaEntry;
@@ -242,6 +244,7 @@
   bool restarting;
   bool silent;
   int32_t queued;
+  std::vector< ::sesamesaddle::schema::FlowKey>  unsure;
 
   void __set_agent(const  ::sesamesaddle::schema::PackedEndpoint val);
 
@@ -271,6 +274,8 @@
 
   void __set_queued(const int32_t val);
 
+  void __set_unsure(const std::vector< ::sesamesaddle::schema::FlowKey> & val);
+
   bool operator == (const AgentReport & rhs) const
   {
     if (!(agent == rhs.agent))
@@ -301,6 +306,8 @@
       return false;
     if (!(queued == rhs.queued))
       return false;
+    if (!(unsure == rhs.unsure))
+      return false;
     return true;
   }
   bool operator != (const AgentReport &rhs) const {
@@ -320,6 +327,44 @@
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj);
 
 
+class FlowQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  FlowQuery(const FlowQuery&);
+  FlowQuery(FlowQuery&&) noexcept;
+  FlowQuery& operator=(const FlowQuery&);
+  FlowQuery& operator=(FlowQuery&&) noexcept;
+  FlowQuery() noexcept {
+  }
+
+  virtual ~FlowQuery() noexcept;
+  std::vector< ::sesamesaddle::schema::FlowKey>  flows;
+
+  void __set_flows(const std::vector< ::sesamesaddle::schema::FlowKey> & val);
+
+  bool operator == (const FlowQuery & rhs) const
+  {
+    if (!(flows == rhs.flows))
+      return false;
+    return true;
+  }
+  bool operator != (const FlowQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FlowQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FlowQuery &a, FlowQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const FlowQuery& obj);
+
+
 class ReplicaVersion : public virtual ::apache::thrift::TBase {
  public:
 
@@ -465,9 +510,10 @@
 std::ostream& operator<<(std::ostream& out, const ReplicaSnapshot& obj);
 
 typedef struct _SteeringMessage__isset {
-  _SteeringMessage__isset() : report(false), version(false) {}
+  _SteeringMessage__isset() : report(false), version(false), query(false) {}
   bool report :1;
   bool version :1;
+  bool query :1;
 } _SteeringMessage__isset;
 
 class SteeringMessage : public virtual ::apache::thrift::TBase {
@@ -483,6 +529,7 @@
   virtual ~SteeringMessage() noexcept;
   AgentReport report;
   ReplicaVersion version;
+  FlowQuery query;
 
   _SteeringMessage__isset __isset;
 
@@ -490,6 +537,8 @@
 
   void __set_version(const ReplicaVersion& val);
 
+  void __set_query(const FlowQuery& val);
+
   bool operator == (const SteeringMessage & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -500,6 +549,10 @@
       return false;
     else if (__isset.version && !(version == rhs.version))
       return false;
+    if (__isset.query != rhs.__isset.query)
+      return false;
+    else if (__isset.query && !(query == rhs.query))
+      return false;
     return true;
   }
   bool operator != (const SteeringMessage &rhs) const {
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -51,9 +51,9 @@
   8: required i32 response_us
   // Flows whose SYN the target has accepted, or the agent keeps for it.
   9: required list<messages.FlowKey> accepted
-  // Flows of offered packets that this target holds.
+  // Flows of queries and offered packets that this target holds.
   10: required list<messages.FlowKey> held
-  // Flows of offered packets that this target does not hold.
+  // Flows of queries and offered packets that this target does not hold.
   11: required list<messages.FlowKey> not_held
   // The agent stops while its target goes on.
   12: required bool restarting
@@ -61,6 +61,13 @@
   13: required bool silent
   // New flows that wait at the agent for room at its target.
   14: required i32 queued
+  // Flows of queries that only the target can tell: the agent is younger.
+  15: required list<messages.FlowKey> unsure
+}
+
+// From a balancer that looks for the targets of flows; answered by a report.
+struct FlowQuery {
+  1: required list<messages.FlowKey> flows
 }
 
 // How new a balancer's replica is.
@@ -89,6 +96,7 @@
 struct SteeringMessage {
   1: optional AgentReport report
   2: optional ReplicaVersion version
+  3: optional FlowQuery query
 }
 
 // The state of a process that steers flows, dumped on request.
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -51,6 +51,7 @@
   int64_t accepted = 0;
   int64_t refused = 0;
   int64_t queued = 0;
+  int64_t yielded = 0;
   int64_t returned_by_target = 0;
   int64_t not_held = 0;
   int64_t wrong_service = 0;
@@ -98,6 +99,9 @@
   /** A packet from a balancer. @param packet  is changed in place */
   void OnBalancerPacket(TimePoint now, const Endpoint& balancer, char* packet,
                         size_t size);
+  /** A balancer looks for the targets of flows. */
+  void OnQuery(TimePoint now, const Endpoint& balancer,
+               const schema::FlowQuery& query);
   /** A packet that the target sent or sent back. */
   void OnTargetPacket(TimePoint now, char* packet, size_t size);
   AnnouncementEffect OnAnnouncement(TimePoint now,
@@ -149,6 +153,7 @@
     std::vector<Flow> accepted;
     std::vector<Flow> held;
     std::vector<Flow> not_held;
+    std::vector<Flow> unsure;
   };
   using FlowMap = std::unordered_map<Flow, FlowEntry>;
 
@@ -159,18 +164,16 @@
   /** Lets waiting flows go on as far as the target has room. */
   void ServeQueue(TimePoint now);
   void ExpireQueue(TimePoint now);
-  void RefuseQueued(TimePoint now, std::vector<WaitingSyn> syns,
-                    std::string_view reason);
+  /** Sends SYNs that waited back to their balancers. */
+  void ReturnQueued(TimePoint now, std::vector<WaitingSyn> syns, HopKind kind);
   void OnData(TimePoint now, const Endpoint& balancer, const PacketHead& head,
               char* packet, size_t size);
   void Deliver(TimePoint now, const PacketHead& head, FlowEntry* entry,
                const Endpoint& balancer, char* packet, size_t size);
   void OnReturned(TimePoint now, const PacketHead& head, char* packet,
                   size_t size);
-  /** @param waited  time since the SYN came to its first balancer */
   void Refuse(TimePoint now, const Endpoint& balancer, const Flow& flow,
-              std::string_view reason, char* packet, size_t size,
-              Duration waited = Duration::zero());
+              std::string_view reason, char* packet, size_t size);
   void AnswerNotHeld(TimePoint now, const Endpoint& balancer, const Flow& flow,
                      bool offered, char* packet, size_t size);
   void ResetFlow(const Flow& flow, const FlowEntry& entry,
@@ -212,6 +215,8 @@
   /** Flows that were counted as expected, oldest first. */
   std::deque<std::pair<TimePoint, Flow>> expectations_;
   Duration response_{};
+  /** The target's first announcement came here: no flow went past. */
+  bool complete_ = false;
   bool stopping_ = false;
   bool urgent_ = false;
 };
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -2,6 +2,7 @@
 #define SESAMESADDLE_STEERING_FLOW_BALANCER_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -27,6 +28,7 @@
 
   virtual void ToAgent(const Endpoint& agent, std::string_view packet) = 0;
   virtual void ToClient(const Endpoint& client, std::string_view packet) = 0;
+  virtual void Query(const Endpoint& agent, const schema::FlowQuery& query) = 0;
 };
 
 /** Counts since the start of the process. */
@@ -36,6 +38,8 @@
   int64_t placed = 0;
   int64_t placed_again = 0;
   int64_t refused_by_agents = 0;
+  int64_t yielded_by_agents = 0;
+  int64_t queries = 0;
   int64_t offers = 0;
   int64_t searches = 0;
   int64_t resets_no_route = 0;
@@ -57,6 +61,10 @@
  public:
   /** A SYN that no target has accepted is placed again after this time. */
   static constexpr Duration kAcceptTime = std::chrono::milliseconds(120);
+  /** Queries of one agent are sent together, at most this often. */
+  static constexpr Duration kQueryPeriod = std::chrono::milliseconds(5);
+  /** Largest number of flows that one query names. */
+  static constexpr size_t kMaxFlowsPerQuery = 60;
   /** Waiting SYNs are looked at again this often. */
   static constexpr Duration kWaitStep = std::chrono::milliseconds(10);
   /** Targets that one SYN is sent to at most, without refusals. */
@@ -87,8 +95,12 @@
   const RouteTable& routes() const { return routes_; }
   const FlowBalancerCounters& counters() const { return counters_; }
   size_t flow_count() const { return flows_.size(); }
+  /** Sends the queries gathered so far, unless some were sent just now. */
+  void FlushQueries(TimePoint now);
   /** Whether something waits for the next tick. */
-  bool busy() const { return !placing_.empty() || !prober_.idle(); }
+  bool busy() const {
+    return !placing_.empty() || !prober_.idle() || !queries_.empty();
+  }
 
  private:
   struct FlowEntry {
@@ -116,6 +128,10 @@
              std::string_view packet);
   void OnData(TimePoint now, const Flow& flow, const PacketHead& head,
               char* packet, size_t size);
+  /** An agent sent a SYN back. */
+  void OnSynReturned(TimePoint now, const Flow& flow, const Route& route,
+                     const PacketHead& head, AgentView* agent,
+                     std::string_view packet);
   /** @return false if the flow was refused; `placing` is void then. */
   bool Place(TimePoint now, const Flow& flow, const Route& route,
              Placing& placing);
@@ -131,6 +147,7 @@
                    const std::vector<Endpoint>& denied);
   void OnHolderFound(TimePoint now, const Flow& flow, AgentView& agent);
   void Reset(const Flow& flow, uint32_t acknowledged, std::string_view reason);
+  void Ask(TimePoint now, AgentView& agent, const Flow& flow) override;
   void Offer(TimePoint now, AgentView& agent, const Flow& flow,
              std::string packet) override;
   void OnNobodyHolds(TimePoint now, const Flow& flow,
@@ -149,6 +166,9 @@
   bool current_ = false;
   FlowMap flows_;
   std::unordered_map<Flow, Placing> placing_;
+  /** Flows to ask each agent about. */
+  std::map<Endpoint, std::vector<schema::FlowKey>> queries_;
+  TimePoint last_queries_{};
   TimePoint next_sweep_{};
   FlowBalancerCounters counters_;
 };
--- a/packages/steering/include/steering/flow_prober.h
+++ b/packages/steering/include/steering/flow_prober.h
@@ -19,6 +19,8 @@
  public:
   virtual ~FlowProberOutput() = default;
 
+  /** Ask the agent whether its target holds the flow. */
+  virtual void Ask(TimePoint now, AgentView& agent, const Flow& flow) = 0;
   /** Deliver the packet at that agent only if its target holds the flow. */
   virtual void Offer(TimePoint now, AgentView& agent, const Flow& flow,
                      std::string packet) = 0;
@@ -28,9 +30,10 @@
 };
 
 /**
- * Looks for the target that holds a flow. It offers the flow's packets to the
- * most likely agents first and to further ones when those do not answer, and it
- * concludes that nobody holds the flow only from the answers of all of them.
+ * Looks for the target that holds a flow. It asks the most likely agents first
+ * and further ones when those do not answer or deny it; an agent that cannot
+ * tell is offered the flow's packets, so that its target decides. It concludes
+ * that nobody holds the flow only from the answers of all.
  */
 class FlowProber {
  public:
@@ -57,8 +60,13 @@
               std::string packet, const std::vector<std::string>& services,
               const std::vector<Endpoint>& likely,
               const std::vector<Endpoint>& denied);
-  /** @return the packets that wait for the holder; the search is over. */
-  std::vector<std::string> Found(const Flow& flow);
+  /**
+   * The holder is found and the search over.
+   * @return the packets that wait for it and were not offered to it
+   */
+  std::vector<std::string> Found(const Flow& flow, const Endpoint& holder);
+  /** An agent cannot tell; its target is asked by the packets themselves. */
+  void OnUnsure(TimePoint now, const Flow& flow, const Endpoint& agent);
   /** An agent does not hold the flow. */
   void OnNotHeld(TimePoint now, const Flow& flow, const Endpoint& agent);
   /** Starts due rounds. */
@@ -73,6 +81,7 @@
     std::vector<std::string> services;
     std::set<Endpoint> asked;
     std::set<Endpoint> denied;
+    std::set<Endpoint> unsure;
     uint32_t acknowledged = 0;
     TimePoint started{};
     TimePoint next_round{};
--- a/packages/steering/include/steering/packet.h
+++ b/packages/steering/include/steering/packet.h
@@ -19,6 +19,7 @@
   kOffer = 2,    // Balancer to agent: deliver it only if your target holds it.
   kRefused = 3,  // Agent to balancer: this SYN was not taken.
   kNotHeld = 4,  // Agent to balancer: the target does not hold this flow.
+  kYielded = 5,  // Agent to balancer: this SYN has waited; look again.
 };
 
 /** Travels in the header bytes that neither end of a flow reads. */
--- a/packages/steering/include/steering/placement.h
+++ b/packages/steering/include/steering/placement.h
@@ -44,7 +44,8 @@
 class LeastWaitPlacement : public PlacementPolicy {
  public:
   /** @param zone  the balancer's zone; targets there are preferred. */
-  explicit LeastWaitPlacement(std::string zone) : zone_(std::move(zone)) {}
+  LeastWaitPlacement(std::string zone, const TargetDirectory& directory)
+      : zone_(std::move(zone)), directory_(directory) {}
 
   AgentView* Choose(TimePoint now, const PlacementRequest& request,
                     const std::vector<AgentView*>& agents) override;
@@ -55,8 +56,15 @@
   double Cost(TimePoint now, const AgentView& view, double usual_ms) const;
 
   std::string zone_;
+  const TargetDirectory& directory_;
 };
 
+enum class PlacementKind { kLeastWait, kHash };
+
+/** @param directory  outlives the policy */
+std::unique_ptr<PlacementPolicy> MakePlacement(
+    PlacementKind kind, std::string zone, const TargetDirectory& directory);
+
 /**
  * The agents most likely to hold the flow, best first: the two highest hashes
  * in `zone` and the two highest of all.
--- a/packages/steering/include/steering/syn_queue.h
+++ b/packages/steering/include/steering/syn_queue.h
@@ -37,8 +37,11 @@
   static constexpr double kAdmittedPerSlot = 1.5;
   /** Longer queues per slot are refused. */
   static constexpr size_t kMaxPerSlot = 8;
-  /** After this wait another target is tried. */
-  static constexpr Duration kLongestWait = std::chrono::milliseconds(200);
+  /**
+   * After this wait the balancer chooses again, as another target may have come
+   * free: twice the time between reports, from which it knows.
+   */
+  static constexpr Duration kLongestWait = std::chrono::milliseconds(100);
 
   /** Whether one more request may go to a target with that much work. */
   static bool HasRoom(int work, int slots);
--- a/packages/steering/include/steering/target_directory.h
+++ b/packages/steering/include/steering/target_directory.h
@@ -80,10 +80,13 @@
   /** A packet was sent to the agent. */
   static void NoteSent(TimePoint now, AgentView& view);
 
-  /** Whether packets to the agent have stayed unanswered for too long. */
-  static bool Silent(TimePoint now, const AgentView& view);
+  /**
+   * Whether packets to the agent have stayed unanswered for too long while
+   * another agent was heard: if none is, this process may be the one cut off.
+   */
+  bool Silent(TimePoint now, const AgentView& view) const;
   /** Whether the target may be given new flows. */
-  static bool Usable(TimePoint now, const AgentView& view);
+  bool Usable(TimePoint now, const AgentView& view) const;
 
   /**
    * Drops entries that are gone for good.
@@ -97,6 +100,7 @@
   void Reindex();
 
   std::map<Endpoint, AgentView> agents_;
+  TimePoint last_report_of_any_{};
   std::map<std::string, Endpoint> by_key_;
   std::map<std::string, std::vector<AgentView*>> by_service_;
 };
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -86,6 +86,25 @@
   }
 }
 
+void FlowAgent::OnQuery(TimePoint now, const Endpoint& balancer,
+                        const schema::FlowQuery& query) {
+  BalancerView& view = TouchUrgently(now, balancer);
+  for (const schema::FlowKey& key : query.flows) {
+    const Flow flow{Endpoint::Unpack(key.caller),
+                    Endpoint::Unpack(key.service_address)};
+    const auto it = flows_.find(flow);
+    if (it == flows_.end()) {
+      const bool sure = health_.gone() || KnowsAllFlows(now);
+      (sure ? view.not_held : view.unsure).push_back(flow);
+    } else if (it->second.state == FlowState::kOpen) {
+      view.held.push_back(flow);
+    } else {
+      // Which of two targets a flow was opened at its next packet tells.
+      view.unsure.push_back(flow);
+    }
+  }
+}
+
 void FlowAgent::OnSyn(TimePoint now, const Endpoint& balancer,
                       const PacketHead& head, char* packet, size_t size) {
   ++counters_.syns;
@@ -158,17 +177,28 @@
 void FlowAgent::ExpireQueue(TimePoint now) {
   if (queue_.empty()) return;
   if (stopping_ || !health_.TakesFlows(now)) {
-    RefuseQueued(now, queue_.TakeAll(), "target-leaving");
+    ReturnQueued(now, queue_.TakeAll(), HopKind::kRefused);
   } else {
-    RefuseQueued(now, queue_.TakeExpired(now), "queue-slow");
+    ReturnQueued(now, queue_.TakeExpired(now), HopKind::kYielded);
   }
 }
 
-void FlowAgent::RefuseQueued(TimePoint now, std::vector<WaitingSyn> syns,
-                             std::string_view reason) {
+void FlowAgent::ReturnQueued(TimePoint now, std::vector<WaitingSyn> syns,
+                             HopKind kind) {
   for (WaitingSyn& syn : syns) {
-    Refuse(now, syn.balancer, syn.flow, reason, syn.packet.data(),
-           syn.packet.size(), syn.waited_before + (now - syn.arrived));
+    ++counters_.yielded;
+    const Duration waited = syn.waited_before + (now - syn.arrived);
+    LogLine(log_, EventKind::kRefused, kPart, "syn-returned")
+        .Add("flow", syn.flow)
+        .Add("waited", waited)
+        .Add("target", health_.announcement().id)
+        .Add("waiting", waiting_)
+        .Add("queued", queue_.size())
+        .Add("balancer", syn.balancer);
+    TouchUrgently(now, syn.balancer);
+    codec_.SetHop(syn.packet.data(), {kind, ServiceCheck(service())},
+                  SynTimes{waited, Duration::zero()}.Pack());
+    output_.ToBalancer(syn.balancer, syn.packet);
   }
 }
 
@@ -318,7 +348,7 @@
 
 void FlowAgent::Refuse(TimePoint now, const Endpoint& balancer,
                        const Flow& flow, std::string_view reason, char* packet,
-                       size_t size, Duration waited) {
+                       size_t size) {
   ++counters_.refused;
   LogLine(log_, EventKind::kRefused, kPart, "syn-refused")
       .Add("flow", flow)
@@ -328,8 +358,7 @@
       .Add("waiting", waiting_)
       .Add("balancer", balancer);
   TouchUrgently(now, balancer);
-  codec_.SetHop(packet, {HopKind::kRefused, ServiceCheck(service())},
-                SynTimes{waited, Duration::zero()}.Pack());
+  codec_.SetHop(packet, {HopKind::kRefused, ServiceCheck(service())}, 0);
   output_.ToBalancer(balancer, std::string_view(packet, size));
 }
 
@@ -371,7 +400,15 @@
 AnnouncementEffect FlowAgent::OnAnnouncement(
     TimePoint now, const TargetAnnouncement& announcement) {
   if (started_ == TimePoint()) started_ = now;
-  return health_.OnAnnouncement(now, announcement);
+  const AnnouncementEffect effect = health_.OnAnnouncement(now, announcement);
+  constexpr int64_t kFirstSequence = 1;
+  if (effect != AnnouncementEffect::kStale &&
+      announcement.sequence == kFirstSequence) {
+    // Packets reach a target through this process only, and it was there when
+    // the target started.
+    complete_ = true;
+  }
+  return effect;
 }
 
 bool FlowAgent::OnDeregister(TimePoint /*now*/, const std::string& id) {
@@ -430,7 +467,7 @@
 }
 
 bool FlowAgent::KnowsAllFlows(TimePoint now) const {
-  return now - started_ > options_.flow_lifetime;
+  return complete_ || now - started_ > options_.flow_lifetime;
 }
 
 FlowAgent::BalancerView& FlowAgent::Touch(TimePoint now,
@@ -481,7 +518,7 @@
     BalancerView& view = it->second;
     const bool due = view.packets_since_report || !view.accepted.empty() ||
                      !view.held.empty() || !view.not_held.empty() ||
-                     view.reported_waiting != waiting_;
+                     !view.unsure.empty() || view.reported_waiting != waiting_;
     const bool time = view.urgent || now - view.last_report >= kReportPeriod;
     if (due && time) SendReport(now, it->first, view);
     it = now - view.last_packet > kBalancerIdle ? balancers_.erase(it)
@@ -505,6 +542,7 @@
   report.accepted = TakeKeys(view.accepted, kMaxFlowsPerReport);
   report.held = TakeKeys(view.held, kMaxFlowsPerReport);
   report.not_held = TakeKeys(view.not_held, kMaxFlowsPerReport);
+  report.unsure = TakeKeys(view.unsure, kMaxFlowsPerReport);
   report.restarting = stopping_ && !health_.gone();
   view.packets_since_report = false;
   view.urgent = false;
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -10,6 +10,8 @@
 constexpr Duration kSweepPeriod = std::chrono::seconds(1);
 // Time for the last packets of a flow that the limit on idleness has closed.
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
+// An agent that refused comes last until its next reports.
+constexpr Duration kRefusalPause = std::chrono::milliseconds(50);
 // A SYN that was sent to targets is repeated for so long.
 constexpr Duration kPlacingLimit = std::chrono::milliseconds(400);
 
@@ -66,7 +68,7 @@
   if (known != flows_.end() && known->second.syn_sequence == head.sequence) {
     AgentView* agent = directory_.Find(known->second.agent);
     if (known->second.accepted && agent != nullptr &&
-        !TargetDirectory::Silent(now, *agent)) {
+        !directory_.Silent(now, *agent)) {
       // The answer to the first copy was lost.
       std::string copy(packet);
       Forward(now, *agent, copy.data(), copy.size());
@@ -194,7 +196,7 @@
     StartSearch(now, flow, head, std::string_view(packet, size), {}, {});
     return;
   }
-  if (TargetDirectory::Silent(now, *agent) && !agent->restarting &&
+  if (directory_.Silent(now, *agent) && !agent->restarting &&
       !entry.runs_once && !head.reset) {
     // The client may repeat the request elsewhere while there is time.
     ++counters_.resets_target_silent;
@@ -231,6 +233,30 @@
                  likely, denied);
 }
 
+void FlowBalancer::Ask(TimePoint now, AgentView& agent, const Flow& flow) {
+  TargetDirectory::NoteSent(now, agent);
+  schema::FlowKey key;
+  key.caller = flow.caller.Pack();
+  key.service_address = flow.service.Pack();
+  queries_[agent.agent].push_back(key);
+}
+
+void FlowBalancer::FlushQueries(TimePoint now) {
+  if (queries_.empty() || now - last_queries_ < kQueryPeriod) return;
+  last_queries_ = now;
+  for (const auto& [agent, keys] : queries_) {
+    for (size_t i = 0; i < keys.size(); i += kMaxFlowsPerQuery) {
+      schema::FlowQuery query;
+      const size_t end = std::min(keys.size(), i + kMaxFlowsPerQuery);
+      query.flows.assign(keys.begin() + static_cast<long>(i),
+                         keys.begin() + static_cast<long>(end));
+      ++counters_.queries;
+      output_.Query(agent, query);
+    }
+  }
+  queries_.clear();
+}
+
 void FlowBalancer::Offer(TimePoint now, AgentView& agent, const Flow& /*flow*/,
                          std::string packet) {
   ++counters_.offers;
@@ -250,8 +276,9 @@
 
 void FlowBalancer::OnHolderFound(TimePoint now, const Flow& flow,
                                  AgentView& agent) {
-  // The packets that waited were offered to the holder already.
-  prober_.Found(flow);
+  for (std::string& packet : prober_.Found(flow, agent.agent)) {
+    Forward(now, agent, packet.data(), packet.size());
+  }
   placing_.erase(flow);
   FlowEntry& entry = flows_[flow];
   const Route* route = routes_.Find(flow.service);
@@ -276,31 +303,42 @@
   const Route* route = routes_.Find(flow.service);
   const auto it = flows_.find(flow);
   if (head->tag.kind == HopKind::kNotHeld) {
-    std::vector<Endpoint> likely;
     if (it != flows_.end() && it->second.agent == agent) flows_.erase(it);
     codec_.SetHop(packet, HopTag(), 0);
     StartSearch(now, flow, *head, std::string_view(packet, size), {}, {agent});
     return;
   }
-  if (head->tag.kind != HopKind::kRefused || route == nullptr) return;
-  ++counters_.refused_by_agents;
-  if (view != nullptr && view->record.state == schema::TargetState::kReady) {
-    // Until its next report, or so long that others come first for a while.
-    view->refuses_until = now + std::chrono::milliseconds(50);
+  if (route == nullptr) return;
+  OnSynReturned(now, flow, *route, *head, view, std::string_view(packet, size));
+}
+
+void FlowBalancer::OnSynReturned(TimePoint now, const Flow& flow,
+                                 const Route& route, const PacketHead& head,
+                                 AgentView* agent, std::string_view packet) {
+  const bool refused = head.tag.kind == HopKind::kRefused;
+  if ((!refused && head.tag.kind != HopKind::kYielded) || agent == nullptr) {
+    return;
+  }
+  ++(refused ? counters_.refused_by_agents : counters_.yielded_by_agents);
+  if (refused && agent->record.state == schema::TargetState::kReady) {
+    agent->refuses_until = now + kRefusalPause;
   }
   Placing& placing = placing_[flow];
   if (placing.packet.empty()) {
     // The agent had kept the SYN for a while.
-    placing.arrived = now - SynTimes::Unpack(head->echo).waited;
-    codec_.SetHop(packet, HopTag(), 0);
-    placing.packet.assign(packet, size);
+    placing.arrived = now - SynTimes::Unpack(head.echo).waited;
+    placing.packet.assign(packet);
+    codec_.SetHop(placing.packet.data(), HopTag(), 0);
   }
-  placing.refused.push_back(agent);
+  if (refused) placing.refused.push_back(agent->agent);
+  const auto it = flows_.find(flow);
   if (it != flows_.end()) {
     auto& tried = it->second.tried;
-    tried.erase(std::remove(tried.begin(), tried.end(), agent), tried.end());
+    tried.erase(std::remove(tried.begin(), tried.end(), agent->agent),
+                tried.end());
+    if (tried.empty()) flows_.erase(it);
   }
-  Place(now, flow, *route, placing);
+  Place(now, flow, route, placing);
 }
 
 void FlowBalancer::OnReport(TimePoint now, const schema::AgentReport& report) {
@@ -315,6 +353,9 @@
     if (it->second.tried.size() == 1) it->second.accepted = true;
   }
   for (const auto& key : report.held) OnHolderFound(now, ToFlow(key), *agent);
+  for (const auto& key : report.unsure) {
+    prober_.OnUnsure(now, ToFlow(key), agent->agent);
+  }
   for (const auto& key : report.not_held) {
     prober_.OnNotHeld(now, ToFlow(key), agent->agent);
   }
@@ -367,6 +408,7 @@
 void FlowBalancer::OnTick(TimePoint now) {
   prober_.OnTick(now);
   RetryPlacements(now);
+  FlushQueries(now);
   if (now < next_sweep_) return;
   next_sweep_ = now + kSweepPeriod;
   ForgetOldFlows(now);
--- a/packages/steering/src/flow_prober.cc
+++ b/packages/steering/src/flow_prober.cc
@@ -20,8 +20,8 @@
     search.started = now;
     search.services = services;
   } else {
-    // Agents that were asked get the further packets of the flow as well.
-    for (const Endpoint& agent : search.asked) {
+    // Targets that decide get the further packets of the flow as well.
+    for (const Endpoint& agent : search.unsure) {
       AgentView* view = directory_.Find(agent);
       if (view == nullptr || search.denied.count(agent) != 0) continue;
       output_.Offer(now, *view, flow, packet);
@@ -55,9 +55,18 @@
   search.next_round = now + kRoundTime;
   for (AgentView* view : agents) {
     search.asked.insert(view->agent);
-    for (const std::string& packet : search.packets) {
-      output_.Offer(now, *view, flow, packet);
-    }
+    output_.Ask(now, *view, flow);
+  }
+}
+
+void FlowProber::OnUnsure(TimePoint now, const Flow& flow,
+                          const Endpoint& agent) {
+  const auto it = searches_.find(flow);
+  AgentView* view = directory_.Find(agent);
+  if (it == searches_.end() || view == nullptr) return;
+  if (!it->second.unsure.insert(agent).second) return;
+  for (const std::string& packet : it->second.packets) {
+    output_.Offer(now, *view, flow, packet);
   }
 }
 
@@ -88,10 +97,14 @@
   return next;
 }
 
-std::vector<std::string> FlowProber::Found(const Flow& flow) {
+std::vector<std::string> FlowProber::Found(const Flow& flow,
+                                           const Endpoint& holder) {
   const auto it = searches_.find(flow);
   if (it == searches_.end()) return {};
-  std::vector<std::string> packets = std::move(it->second.packets);
+  std::vector<std::string> packets;
+  if (it->second.unsure.count(holder) == 0) {
+    packets = std::move(it->second.packets);
+  }
   searches_.erase(it);
   return packets;
 }
--- a/packages/steering/src/placement.cc
+++ b/packages/steering/src/placement.cc
@@ -79,6 +79,12 @@
   return candidates;
 }
 
+std::unique_ptr<PlacementPolicy> MakePlacement(
+    PlacementKind kind, std::string zone, const TargetDirectory& directory) {
+  if (kind == PlacementKind::kHash) return std::make_unique<HashPlacement>();
+  return std::make_unique<LeastWaitPlacement>(std::move(zone), directory);
+}
+
 AgentView* HashPlacement::Choose(TimePoint /*now*/,
                                  const PlacementRequest& request,
                                  const std::vector<AgentView*>& agents) {
@@ -100,7 +106,7 @@
   std::vector<AgentView*> usable;
   for (AgentView* view : agents) {
     if (Contains(request.excluded, view->agent)) continue;
-    if (TargetDirectory::Usable(now, *view)) usable.push_back(view);
+    if (directory_.Usable(now, *view)) usable.push_back(view);
   }
   AgentView* best =
       Cheapest(now, request, FlowCandidates(request.flow, zone_, usable));
--- a/packages/steering/src/target_directory.cc
+++ b/packages/steering/src/target_directory.cc
@@ -84,6 +84,7 @@
 
 void TargetDirectory::OnReport(TimePoint now,
                                const schema::AgentReport& report) {
+  last_report_of_any_ = now;
   AgentView* view = Find(Endpoint::Unpack(report.agent));
   if (view == nullptr || view->record.service_name != report.service_name)
     return;
@@ -111,11 +112,12 @@
   view.unanswered_since = now;
 }
 
-bool TargetDirectory::Silent(TimePoint now, const AgentView& view) {
-  return view.unanswered && now - view.unanswered_since > kSilenceLimit;
+bool TargetDirectory::Silent(TimePoint now, const AgentView& view) const {
+  return view.unanswered && now - view.unanswered_since > kSilenceLimit &&
+         last_report_of_any_ > view.unanswered_since + kSilenceLimit / 2;
 }
 
-bool TargetDirectory::Usable(TimePoint now, const AgentView& view) {
+bool TargetDirectory::Usable(TimePoint now, const AgentView& view) const {
   if (view.record.state != schema::TargetState::kReady) return false;
   if (view.restarting || now < view.refuses_until) return false;
   if (Silent(now, view)) return false;
--- a/packages/steering_daemon/include/steering_daemon/agent_process.h
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -34,6 +34,7 @@
               const schema::AgentReport& report) override;
 
   tl::expected<void, NetError> OpenSockets();
+  void OnControl(const Endpoint& from, std::string_view bytes);
   bool ServiceIsOurs(const std::string& service);
   void PublishTarget();
   void Flush();
@@ -68,6 +69,7 @@
   TimePoint stop_began_{};
   int64_t announcements_ = 0;
   int64_t bad_announcements_ = 0;
+  int64_t malformed_control_ = 0;
 };
 
 }  // namespace sesamesaddle
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -20,7 +20,7 @@
                         private ReplicaListener {
  public:
   BalancerProcess(SteeringParts parts, SteeringSettings settings,
-                  std::unique_ptr<PlacementPolicy> placement);
+                  PlacementKind placement);
 
   tl::expected<void, NetError> Open() override;
   void Run() override;
@@ -34,6 +34,7 @@
  private:
   void ToAgent(const Endpoint& agent, std::string_view packet) override;
   void ToClient(const Endpoint& client, std::string_view packet) override;
+  void Query(const Endpoint& agent, const schema::FlowQuery& query) override;
   void OnConfiguration(const std::string& document, int64_t revision) override;
   void OnEntry(const std::string& key, const std::string& value,
                int64_t revision) override;
@@ -56,8 +57,8 @@
   SteeringParts parts_;
   SteeringSettings settings_;
   SettingsWatcher settings_watcher_;
-  std::unique_ptr<PlacementPolicy> placement_;
   TargetDirectory directory_;
+  std::unique_ptr<PlacementPolicy> placement_;
   FlowBalancer balancer_;
   ReplicaFollower follower_;
   ReplicaExchange exchange_;
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -71,13 +71,28 @@
   target_ = std::move(*target);
   auto control = PacketSocket::Open(
       parts_.loop, PeerEndpoint(settings_, settings_.ip, PeerPort::kControl),
-      {[](const Endpoint& /*from*/, char* /*bytes*/, size_t /*size*/) {}, flush,
-       nullptr});
+      {[this](const Endpoint& from, char* bytes, size_t size) {
+         OnControl(from, std::string_view(bytes, size));
+       },
+       flush, nullptr});
   if (!control) return tl::unexpected(control.error());
   control_ = std::move(*control);
   return {};
 }
 
+void AgentProcess::OnControl(const Endpoint& from, std::string_view bytes) {
+  const auto message = DecodeCompact<schema::SteeringMessage>(bytes);
+  if (!message) {
+    ++malformed_control_;
+    return;
+  }
+  if (!message->__isset.query) return;
+  // Balancers are known by the socket that they send packets from.
+  agent_.OnQuery(parts_.loop.Now(),
+                 PeerEndpoint(settings_, from.ip(), PeerPort::kReturned),
+                 message->query);
+}
+
 void AgentProcess::Run() {
   LogLine(parts_.log, EventKind::kProcess, kPart, "start")
       .Add("name", settings_.name)
@@ -260,11 +275,13 @@
       {"flows_accepted_total", c.accepted},
       {"syns_refused_total", c.refused},
       {"syns_queued_total", c.queued},
+      {"syns_yielded_total", c.yielded},
       {"packets_returned_by_target_total", c.returned_by_target},
       {"packets_not_held_total", c.not_held},
       {"packets_of_other_service_total", c.wrong_service},
       {"resets_total", c.resets},
       {"malformed_packets_total", c.malformed},
+      {"malformed_control_total", malformed_control_},
       {"reports_total", c.reports},
       {"announcements_total", announcements_},
       {"announcements_refused_total", bad_announcements_},
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -31,11 +31,11 @@
 }  // namespace
 
 BalancerProcess::BalancerProcess(SteeringParts parts, SteeringSettings settings,
-                                 std::unique_ptr<PlacementPolicy> placement)
+                                 PlacementKind placement)
     : parts_(parts),
       settings_(std::move(settings)),
       settings_watcher_(parts.settings_source, parts.log),
-      placement_(std::move(placement)),
+      placement_(MakePlacement(placement, settings_.zone, directory_)),
       balancer_(settings_.zone, parts.codec, directory_, *placement_, *this,
                 parts.log),
       follower_(parts.store, parts.scheduler, parts.random, parts.log,
@@ -146,6 +146,14 @@
   clients_->Queue(Endpoint(client.ip(), settings_.packets.port()), packet);
 }
 
+void BalancerProcess::Query(const Endpoint& agent,
+                            const schema::FlowQuery& query) {
+  schema::SteeringMessage message;
+  message.__set_query(query);
+  control_->Queue(PeerEndpoint(settings_, agent.ip(), PeerPort::kControl),
+                  EncodeCompact(message));
+}
+
 void BalancerProcess::OnConfiguration(const std::string& document,
                                       int64_t revision) {
   auto routes = parts_.decoder.Decode(document);
@@ -241,6 +249,7 @@
 }
 
 void BalancerProcess::Flush() {
+  balancer_.FlushQueries(parts_.loop.Now());
   clients_->Flush();
   agents_->Flush();
   control_->Flush();
@@ -300,7 +309,9 @@
       {"flows_placed_total", c.placed},
       {"flows_placed_again_total", c.placed_again},
       {"syns_refused_by_agents_total", c.refused_by_agents},
+      {"syns_yielded_by_agents_total", c.yielded_by_agents},
       {"packets_offered_total", c.offers},
+      {"flow_queries_total", c.queries},
       {"flow_searches_total", c.searches},
       {"resets_no_route_total", c.resets_no_route},
       {"resets_no_target_total", c.resets_no_target},
