A target's end resets its flows once; texts with spaces are quoted in logs

Log values with spaces are quoted.

Test 'A target that ends resets its flows once' failed before the change.

--- a/packages/core/include/core/event_log.h
+++ b/packages/core/include/core/event_log.h
@@ -61,6 +61,27 @@
     if (admitted_) text_ << ' ' << key << '=' << value;
     return *this;
   }
+  /** A text with spaces is quoted. */
+  LogLine& Add(std::string_view key, std::string_view value) {
+    if (!admitted_) return *this;
+    const bool plain = !value.empty() &&
+                       value.find_first_of(" \"=\n") == std::string_view::npos;
+    text_ << ' ' << key << '=';
+    if (plain) {
+      text_ << value;
+      return *this;
+    }
+    text_ << '"';
+    for (const char c : value) text_ << (c == '"' || c == '\n' ? '\'' : c);
+    text_ << '"';
+    return *this;
+  }
+  LogLine& Add(std::string_view key, const std::string& value) {
+    return Add(key, std::string_view(value));
+  }
+  LogLine& Add(std::string_view key, const char* value) {
+    return Add(key, std::string_view(value));
+  }
   LogLine& Add(std::string_view key, const Endpoint& value) {
     if (admitted_) text_ << ' ' << key << '=' << value.ToString();
     return *this;
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -217,6 +217,7 @@
     return;
   }
   FlowEntry& entry = it->second;
+  if (entry.state == FlowState::kEnded && health_.gone()) return;
   if (entry.state == FlowState::kOpening) {
     const uint32_t ahead = head.acknowledged - entry.target_sequence;
     if (!entry.sequence_known || ahead > 1) {
@@ -390,11 +391,11 @@
 void FlowAgent::ResetAll(std::string_view reason) {
   for (auto& [flow, entry] : flows_) {
     if (entry.state == FlowState::kOpen) ResetFlow(flow, entry, reason);
+    StopWaiting(entry);
+    StopExpecting(entry);
+    // Remembered for the packets that clients have still sent.
+    entry.state = FlowState::kEnded;
   }
-  flows_.clear();
-  waiting_ = 0;
-  expected_ = 0;
-  expectations_.clear();
 }
 
 AnnouncementEffect FlowAgent::OnAnnouncement(
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -177,6 +177,7 @@
                           const PacketHead& head, char* packet, size_t size) {
   const auto it = flows_.find(flow);
   if (it == flows_.end()) {
+    if (head.reset) return;  // Its client is done with it.
     StartSearch(now, flow, head, std::string_view(packet, size), {}, {});
     return;
   }
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -452,6 +452,30 @@
   CHECK(RunRounds(world, 3, milliseconds(500)) == 36);
 }
 
+TEST_CASE("A target that ends resets its flows once") {
+  SteeringWorld world(2, 2, 15);
+  for (int i = 0; i < 10; ++i) world.AddClient(true);
+  RunRounds(world, 1, milliseconds(250));
+  const auto held = static_cast<int>(world.agent(0)->flow_count());
+  REQUIRE(held > 0);
+  CHECK_FALSE(world.agent(0)->OnDeregister(world.scheduler.Now(), "other"));
+  CHECK(world.agent(0)->OnDeregister(world.scheduler.Now(), "t0"));
+  world.targets[0]->Crash();
+  world.RunFor(milliseconds(50));
+  CHECK(world.resets == held);
+  // Packets that were under way cause no search and no second reset.
+  PacketHead late;
+  late.ack = true;
+  late.destination = SteeringWorld::RouteAddress();
+  for (uint32_t i = 0; i < 10; ++i) {
+    late.source = Endpoint(0x64400000 + i, 1001);
+    world.FromClient(TestPacketCodec::Encode(late));
+  }
+  world.RunFor(milliseconds(100));
+  CHECK(world.resets == held);
+  CHECK(RunRounds(world, 1, milliseconds(500)) == 10);
+}
+
 TEST_CASE("A packet for another service is not delivered") {
   SteeringWorld world(1, 1, 10);
   schema::TargetRecord record = MakeRecord(0);
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -163,7 +163,7 @@
 void AgentProcess::OnBadAnnouncement(const std::string& reason) {
   ++bad_announcements_;
   LogLine(parts_.log, EventKind::kMalformed, kPart, "announcement-refused")
-      .Add("reason", "\"" + reason + "\"");
+      .Add("reason", reason);
 }
 
 schema::TargetRecord AgentProcess::MakeRecord() const {
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -160,7 +160,7 @@
   if (!routes) {
     LogLine(parts_.log, EventKind::kBelief, kPart, "configuration-refused")
         .Add("revision", revision)
-        .Add("reason", "\"" + routes.error() + "\"");
+        .Add("reason", routes.error());
     return;
   }
   LogLine(parts_.log, EventKind::kBelief, kPart, "configuration")
@@ -222,7 +222,7 @@
 
 void BalancerProcess::OnBadAnnouncement(const std::string& reason) {
   LogLine(parts_.log, EventKind::kMalformed, kPart, "announcement-refused")
-      .Add("reason", "\"" + reason + "\"");
+      .Add("reason", reason);
 }
 
 void BalancerProcess::OnControl(const Endpoint& from, std::string_view bytes) {
--- a/packages/steering_daemon/src/settings_watcher.cc
+++ b/packages/steering_daemon/src/settings_watcher.cc
@@ -27,7 +27,7 @@
   if (!read) {
     if (requested || read.error() != last_fault_) {
       LogLine(log_, EventKind::kProcess, kPart, "reload-refused")
-          .Add("reason", "\"" + read.error() + "\"");
+          .Add("reason", read.error());
     }
     last_fault_ = read.error();
     return std::nullopt;
--- a/packages/steering_daemon/src/steering_process.cc
+++ b/packages/steering_daemon/src/steering_process.cc
@@ -45,7 +45,7 @@
   if (server) return std::move(*server);
   LogLine(log, EventKind::kDependency, "daemon", "metrics-not-served")
       .Add("port", settings.metrics_port)
-      .Add("reason", "\"" + server.error().message + "\"");
+      .Add("reason", server.error().message);
   return nullptr;
 }
 
--- a/packages/steering_daemon/tests/steering_daemon_test.cc
+++ b/packages/steering_daemon/tests/steering_daemon_test.cc
@@ -51,6 +51,19 @@
         "age_ms=15");
 }
 
+TEST_CASE("A text with spaces is quoted and stays on its line") {
+  ManualClock clock;
+  std::string line;
+  RateLimitedLog log(clock, [&](const std::string& text) { line = text; });
+  LogLine(log, EventKind::kDependency, "replica", "store-lost")
+      .Add("reason", "the \"reply\"\nwas lost")
+      .Add("target", std::string())
+      .Add("service", std::string("orders"));
+  CHECK(line ==
+        "replica: event=store-lost reason=\"the 'reply''was lost\""
+        " target=\"\" service=orders");
+}
+
 TEST_CASE("Metrics are Prometheus' text, counters by their suffix") {
   prometheus::Registry registry;
   LatencyHistogram histogram(registry, "response_seconds", "Responses");
