--- a/packages/core/include/core/event_log.h
+++ b/packages/core/include/core/event_log.h
@@ -72,15 +72,20 @@
       return *this;
     }
     text_ << '"';
-    for (const char c : value) text_ << (c == '"' || c == '\n' ? '\'' : c);
+    for (const char c : value) {
+      const bool breaks = c == '"' || c == '\n';
+      text_ << (breaks ? '\'' : c);
+    }
     text_ << '"';
     return *this;
   }
   LogLine& Add(std::string_view key, const std::string& value) {
-    return Add(key, std::string_view(value));
+    const std::string_view text = value;
+    return Add(key, text);
   }
   LogLine& Add(std::string_view key, const char* value) {
-    return Add(key, std::string_view(value));
+    const std::string_view text = value;
+    return Add(key, text);
   }
   LogLine& Add(std::string_view key, const Endpoint& value) {
     if (admitted_) text_ << ' ' << key << '=' << value.ToString();
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -37,7 +37,7 @@
   std::vector<schema::FlowKey> keys;
   const size_t count = std::min(flows.size(), limit);
   for (size_t i = 0; i < count; ++i) keys.push_back(ToKey(flows[i]));
-  flows.erase(flows.begin(), flows.begin() + static_cast<long>(count));
+  flows.erase(flows.begin(), flows.begin() + static_cast<ptrdiff_t>(count));
   return keys;
 }
 
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -249,8 +249,8 @@
     for (size_t i = 0; i < keys.size(); i += kMaxFlowsPerQuery) {
       schema::FlowQuery query;
       const size_t end = std::min(keys.size(), i + kMaxFlowsPerQuery);
-      query.flows.assign(keys.begin() + static_cast<long>(i),
-                         keys.begin() + static_cast<long>(end));
+      query.flows.assign(keys.begin() + static_cast<ptrdiff_t>(i),
+                         keys.begin() + static_cast<ptrdiff_t>(end));
       ++counters_.queries;
       output_.Query(agent, query);
     }
@@ -277,6 +277,10 @@
 
 void FlowBalancer::OnHolderFound(TimePoint now, const Flow& flow,
                                  AgentView& agent) {
+  LogLine(log_, EventKind::kMoved, kPart, "flow-found")
+      .Add("flow", flow)
+      .Add("target", agent.record.id)
+      .Add("agent", agent.agent);
   for (std::string& packet : prober_.Found(flow, agent.agent)) {
     Forward(now, agent, packet.data(), packet.size());
   }
--- a/packages/steering/src/placement.cc
+++ b/packages/steering/src/placement.cc
@@ -49,7 +49,7 @@
     }
   }
   if (times.empty()) return 0;
-  const auto middle = times.begin() + static_cast<long>(times.size() / 2);
+  const auto middle = times.begin() + static_cast<ptrdiff_t>(times.size() / 2);
   std::nth_element(times.begin(), middle, times.end());
   return *middle;
 }
--- a/packages/steering/src/target_directory.cc
+++ b/packages/steering/src/target_directory.cc
@@ -86,8 +86,8 @@
                                const schema::AgentReport& report) {
   last_report_of_any_ = now;
   AgentView* view = Find(Endpoint::Unpack(report.agent));
-  if (view == nullptr || view->record.service_name != report.service_name)
-    return;
+  if (view == nullptr) return;
+  if (view->record.service_name != report.service_name) return;
   view->waiting = report.waiting;
   view->opening = report.opening;
   view->flows = report.flows;
--- a/packages/steering_daemon/src/replica_exchange.cc
+++ b/packages/steering_daemon/src/replica_exchange.cc
@@ -42,7 +42,7 @@
   if (peers_.empty() || !follower_.loaded()) return;
   for (int i = 0; i < kPeersPerPeriod; ++i) {
     const auto peer = std::next(
-        peers_.begin(), static_cast<long>(random_.Below(peers_.size())));
+        peers_.begin(), static_cast<ptrdiff_t>(random_.Below(peers_.size())));
     send_(peer->second.control, OwnVersion());
   }
 }
--- a/packages/steering_daemon/tests/steering_daemon_test.cc
+++ b/packages/steering_daemon/tests/steering_daemon_test.cc
@@ -28,7 +28,7 @@
   }
   const size_t burst = 2 * RateLimitedLog::kFlowLinesPerSecond;
   CHECK(lines.size() == burst);
-  LogLine(log, EventKind::kReset, "balancer", "flow-reset");
+  LogLine(log, EventKind::kReset, "balancer", "flow-reset").Add("i", 0);
   CHECK(lines.size() == burst + 1);
   clock.now += std::chrono::seconds(1);
   LogLine(log, EventKind::kPlaced, "balancer", "flow-placed").Add("i", 7);
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -186,8 +186,9 @@
       failed.push_back(item ? ItemJson(*item)
                             : Json{{"key", key}, {"revision", 0}});
     }
-    if (!failed.empty())
+    if (!failed.empty()) {
       return JsonResponse(kPrecondition, {{"items", failed}});
+    }
     for (const Json& row : body.value("writes", Json::array())) {
       const LeaseId lease(row.value("lease", int64_t{0}));
       if (lease != kNoLease && !store_.HasLease(lease)) {
