--- a/packages/core/include/core/event_log.h
+++ b/packages/core/include/core/event_log.h
@@ -28,6 +28,15 @@
   kCount,
 };
 
+/** Lines since the start of the process. */
+struct EventLogCounts {
+  int64_t written = 0;
+  /** Over the rate of their kind. */
+  int64_t left_out = 0;
+  /** Not taken by the output at once. */
+  int64_t dropped = 0;
+};
+
 /** Takes log lines; never blocks. */
 class EventLog {
  public:
@@ -37,6 +46,7 @@
   virtual bool Admit(EventKind kind) = 0;
   /** Writes one line that Admit allowed. */
   virtual void Write(EventKind kind, const std::string& line) = 0;
+  virtual EventLogCounts counts() const = 0;
 };
 
 /**
--- a/packages/daemon/include/daemon/log.h
+++ b/packages/daemon/include/daemon/log.h
@@ -3,6 +3,7 @@
 
 #include <easylogging++.h>
 
+#include <cstdint>
 #include <string>
 
 namespace sesamesaddle {
@@ -10,9 +11,15 @@
 /** Whether `level` is one of debug, info, warning and error. */
 bool IsLogLevel(const std::string& level);
 
-/** Sends log lines of that level and above to standard output. */
+/**
+ * Sends log lines of that level and above to standard output. A line that it
+ * does not take at once is dropped: writing never waits for a reader.
+ */
 void StartLog(const std::string& level);
 
+/** Lines dropped so far. */
+int64_t DroppedLogLines();
+
 }  // namespace sesamesaddle
 
 #endif  // SESAMESADDLE_DAEMON_LOG_H_
--- a/packages/daemon/src/log.cc
+++ b/packages/daemon/src/log.cc
@@ -1,5 +1,9 @@
 #include "daemon/log.h"
 
+#include <limits.h>
+#include <poll.h>
+#include <unistd.h>
+
 #include <map>
 
 INITIALIZE_EASYLOGGINGPP
@@ -17,8 +21,35 @@
   return levels;
 }
 
+int64_t dropped_lines = 0;
+
+/** Whether standard output takes PIPE_BUF bytes without waiting. */
+bool OutputHasRoom() {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+/** Writes lines without waiting for whoever reads them. */
+class NonBlockingOutput : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    std::string line = data->logMessage()->logger()->logBuilder()->build(
+        data->logMessage(), true);
+    if (line.size() > PIPE_BUF) {
+      line.resize(PIPE_BUF - 1);
+      line += '\n';
+    }
+    const bool written =
+        OutputHasRoom() && write(STDOUT_FILENO, line.data(), line.size()) ==
+                               static_cast<ssize_t>(line.size());
+    if (!written) ++dropped_lines;
+  }
+};
+
 }  // namespace
 
+int64_t DroppedLogLines() { return dropped_lines; }
+
 bool IsLogLevel(const std::string& level) { return Levels().count(level) != 0; }
 
 void StartLog(const std::string& level) {
@@ -31,6 +62,10 @@
                              "%datetime %level %msg");
   el::Loggers::reconfigureAllLoggers(configurations);
   el::Loggers::setLoggingLevel(Levels().at(level));
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<NonBlockingOutput>(
+      "NonBlockingOutput");
 }
 
 }  // namespace sesamesaddle
--- a/packages/daemon/src/steering_command.cc
+++ b/packages/daemon/src/steering_command.cc
@@ -110,7 +110,11 @@
   EventLoop loop(clock);
   LoopScheduler scheduler(loop);
   SeededRandom random(SystemSeed());
-  RateLimitedLog log(clock, [](const std::string& line) { LOG(INFO) << line; });
+  RateLimitedLog log(clock, [](const std::string& line) {
+    const int64_t dropped = DroppedLogLines();
+    LOG(INFO) << line;
+    return DroppedLogLines() == dropped;
+  });
   StoreClient store(loop, settings.store, kStoreTimeout);
   const PlatformPacketCodec codec;
   const ConfigurationDocument decoder;
--- a/packages/steering_daemon/include/steering_daemon/rate_limited_log.h
+++ b/packages/steering_daemon/include/steering_daemon/rate_limited_log.h
@@ -14,7 +14,8 @@
 /** Bounds the lines of each kind a second and counts what it left out. */
 class RateLimitedLog : public EventLog {
  public:
-  using Sink = std::function<void(const std::string& line)>;
+  /** @return false if the line could not be written at once. */
+  using Sink = std::function<bool(const std::string& line)>;
 
   /** Lines a second about single flows, per kind; more may come in a burst. */
   static constexpr int kFlowLinesPerSecond = 25;
@@ -27,8 +28,7 @@
   bool Admit(EventKind kind) override;
   void Write(EventKind kind, const std::string& line) override;
 
-  int64_t written() const { return written_; }
-  int64_t left_out() const { return left_out_; }
+  EventLogCounts counts() const override { return counts_; }
 
  private:
   struct Bucket {
@@ -40,8 +40,7 @@
   const Clock& clock_;
   Sink sink_;
   std::array<Bucket, static_cast<size_t>(EventKind::kCount)> buckets_{};
-  int64_t written_ = 0;
-  int64_t left_out_ = 0;
+  EventLogCounts counts_;
 };
 
 }  // namespace sesamesaddle
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -268,7 +268,11 @@
 
 CounterValues AgentProcess::Counters() const {
   const FlowAgentCounters& c = agent_.counters();
+  const EventLogCounts lines = parts_.log.counts();
   return {
+      {"log_lines_total", lines.written},
+      {"log_lines_left_out_total", lines.left_out},
+      {"log_lines_dropped_total", lines.dropped},
       {"packets_to_target_total", c.packets_to_target},
       {"packets_to_clients_total", c.packets_to_clients},
       {"syns_total", c.syns},
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -303,7 +303,11 @@
 
 CounterValues BalancerProcess::Counters() const {
   const FlowBalancerCounters& c = balancer_.counters();
+  const EventLogCounts lines = parts_.log.counts();
   return {
+      {"log_lines_total", lines.written},
+      {"log_lines_left_out_total", lines.left_out},
+      {"log_lines_dropped_total", lines.dropped},
       {"client_packets_total", c.packets},
       {"syns_total", c.syns},
       {"flows_placed_total", c.placed},
--- a/packages/steering_daemon/src/rate_limited_log.cc
+++ b/packages/steering_daemon/src/rate_limited_log.cc
@@ -29,7 +29,7 @@
   bucket.filled = now;
   if (bucket.tokens < 1) {
     ++bucket.left_out;
-    ++left_out_;
+    ++counts_.left_out;
     return false;
   }
   bucket.tokens -= 1;
@@ -38,12 +38,15 @@
 
 void RateLimitedLog::Write(EventKind kind, const std::string& line) {
   Bucket& bucket = buckets_[static_cast<size_t>(kind)];
-  ++written_;
-  if (bucket.left_out == 0) {
-    sink_(line);
+  const std::string note =
+      bucket.left_out == 0
+          ? ""
+          : " lines_left_out=" + std::to_string(bucket.left_out);
+  if (!sink_(line + note)) {
+    ++counts_.dropped;
     return;
   }
-  sink_(line + " lines_left_out=" + std::to_string(bucket.left_out));
+  ++counts_.written;
   bucket.left_out = 0;
 }
 
--- a/packages/steering_daemon/tests/steering_daemon_test.cc
+++ b/packages/steering_daemon/tests/steering_daemon_test.cc
@@ -21,8 +21,10 @@
 TEST_CASE("A flood of one kind is bounded, counted, and hides no other kind") {
   ManualClock clock;
   std::vector<std::string> lines;
-  RateLimitedLog log(clock,
-                     [&](const std::string& line) { lines.push_back(line); });
+  RateLimitedLog log(clock, [&](const std::string& line) {
+    lines.push_back(line);
+    return true;
+  });
   for (int i = 0; i < 1000; ++i) {
     LogLine(log, EventKind::kPlaced, "balancer", "flow-placed").Add("i", i);
   }
@@ -34,14 +36,34 @@
   LogLine(log, EventKind::kPlaced, "balancer", "flow-placed").Add("i", 7);
   CHECK(lines.back() == "balancer: event=flow-placed i=7 lines_left_out=" +
                             std::to_string(1000 - burst));
-  CHECK(log.left_out() == static_cast<int64_t>(1000 - burst));
-  CHECK(log.written() == static_cast<int64_t>(burst + 2));
+  CHECK(log.counts().left_out == static_cast<int64_t>(1000 - burst));
+  CHECK(log.counts().written == static_cast<int64_t>(burst + 2));
+}
+
+TEST_CASE(
+    "A line that the output does not take is counted, and not waited for") {
+  ManualClock clock;
+  bool open = false;
+  std::vector<std::string> lines;
+  RateLimitedLog log(clock, [&](const std::string& line) {
+    if (open) lines.push_back(line);
+    return open;
+  });
+  LogLine(log, EventKind::kReset, "agent", "flow-reset").Add("i", 1);
+  open = true;
+  LogLine(log, EventKind::kReset, "agent", "flow-reset").Add("i", 2);
+  CHECK(lines.size() == 1);
+  CHECK(log.counts().dropped == 1);
+  CHECK(log.counts().written == 1);
 }
 
 TEST_CASE("A line names a flow the same way in every process") {
   ManualClock clock;
   std::string line;
-  RateLimitedLog log(clock, [&](const std::string& text) { line = text; });
+  RateLimitedLog log(clock, [&](const std::string& text) {
+    line = text;
+    return true;
+  });
   const Flow flow{Endpoint(0x64400007, 40001), Endpoint(0xc6120001, 443)};
   LogLine(log, EventKind::kOpened, "agent", "flow-opened")
       .Add("flow", flow)
@@ -54,7 +76,10 @@
 TEST_CASE("A text with spaces is quoted and stays on its line") {
   ManualClock clock;
   std::string line;
-  RateLimitedLog log(clock, [&](const std::string& text) { line = text; });
+  RateLimitedLog log(clock, [&](const std::string& text) {
+    line = text;
+    return true;
+  });
   LogLine(log, EventKind::kDependency, "replica", "store-lost")
       .Add("reason", "the \"reply\"\nwas lost")
       .Add("target", std::string())
@@ -93,8 +118,10 @@
 TEST_CASE("Settings are read again on a signal and when they change silently") {
   ManualClock clock;
   std::vector<std::string> lines;
-  RateLimitedLog log(clock,
-                     [&](const std::string& line) { lines.push_back(line); });
+  RateLimitedLog log(clock, [&](const std::string& line) {
+    lines.push_back(line);
+    return true;
+  });
   FakeSource source;
   const SteeringSettings current;
   SettingsWatcher watcher(source, log);
--- a/tests/support/silent_log.h
+++ b/tests/support/silent_log.h
@@ -12,6 +12,7 @@
  public:
   bool Admit(EventKind /*kind*/) override { return false; }
   void Write(EventKind /*kind*/, const std::string& /*line*/) override {}
+  EventLogCounts counts() const override { return {}; }
 };
 
 }  // namespace sesamesaddle
