Balancers forget flows that their clients closed

Change: a client's FIN or reset marks the entry; it is dropped 4 s after its last packet and never reset.

Test 'Flows that their clients closed are forgotten and never reset' failed before (10 resets for 4 open flows) and passes; steering_test 30 cases passed.

--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -107,6 +107,8 @@
     Endpoint agent;
     /** The agent has confirmed that its target took the flow. */
     bool accepted = false;
+    /** The client has closed it or given it up. */
+    bool ended = false;
     bool runs_once = false;
     uint32_t acknowledged = 0;
     uint32_t syn_sequence = 0;
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -12,6 +12,8 @@
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
 // An agent that refused comes last until its next reports.
 constexpr Duration kRefusalPause = std::chrono::milliseconds(50);
+// Longer than an end repeats its last packet.
+constexpr Duration kEndedLinger = std::chrono::seconds(4);
 // A SYN that was sent to targets is repeated for so long.
 constexpr Duration kPlacingLimit = std::chrono::milliseconds(400);
 
@@ -184,6 +186,7 @@
   FlowEntry& entry = it->second;
   entry.acknowledged = head.acknowledged;
   entry.last_packet = now;
+  entry.ended = entry.ended || head.fin || head.reset;
   placing_.erase(flow);  // The client has got an answer to its SYN.
   if (entry.tried.size() > 1) {
     const std::vector<Endpoint> tried = std::move(entry.tried);
@@ -385,8 +388,10 @@
       ++it;
       continue;
     }
-    ++counters_.resets_no_route;
-    Reset(it->first, it->second.acknowledged, "route-dropped");
+    if (!it->second.ended) {
+      ++counters_.resets_no_route;
+      Reset(it->first, it->second.acknowledged, "route-dropped");
+    }
     placing_.erase(it->first);
     it = flows_.erase(it);
   }
@@ -404,8 +409,10 @@
       ++it;
       continue;
     }
-    ++counters_.resets_target_gone;
-    Reset(it->first, it->second.acknowledged, "target-gone");
+    if (!it->second.ended) {
+      ++counters_.resets_target_gone;
+      Reset(it->first, it->second.acknowledged, "target-gone");
+    }
     it = flows_.erase(it);
   }
 }
@@ -457,8 +464,9 @@
 }
 
 void FlowBalancer::ForgetOldFlows(TimePoint now) {
-  const Duration limit = routes_.idle_timeout + kIdleMargin;
+  const Duration idle_limit = routes_.idle_timeout + kIdleMargin;
   for (auto it = flows_.begin(); it != flows_.end();) {
+    const Duration limit = it->second.ended ? kEndedLinger : idle_limit;
     it =
         now - it->second.last_packet > limit ? flows_.erase(it) : std::next(it);
   }
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -476,6 +476,27 @@
   CHECK(RunRounds(world, 1, milliseconds(500)) == 10);
 }
 
+TEST_CASE("Flows that their clients closed are forgotten and never reset") {
+  SteeringWorld world(1, 2, 16);
+  for (int i = 0; i < 10; ++i) world.AddClient(true);
+  RunRounds(world, 1, milliseconds(250));
+  REQUIRE(world.balancer(0)->flow_count() == 10);
+  for (size_t i = 0; i < 6; ++i) world.clients[i]->Close();
+  world.RunFor(milliseconds(100));
+  RouteTable next = world.routes;
+  next.version = 2;
+  next.routes.clear();
+  world.balancer(0)->Apply(world.scheduler.Now(), next);
+  world.RunFor(milliseconds(100));
+  CHECK(world.resets == 4);
+  SteeringWorld again(1, 2, 16);
+  for (int i = 0; i < 10; ++i) again.AddClient(true);
+  RunRounds(again, 1, milliseconds(250));
+  for (size_t i = 0; i < 6; ++i) again.clients[i]->Close();
+  again.RunFor(seconds(6));
+  CHECK(again.balancer(0)->flow_count() == 4);
+}
+
 TEST_CASE("A packet for another service is not delivered") {
   SteeringWorld world(1, 1, 10);
   schema::TargetRecord record = MakeRecord(0);
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -436,6 +436,16 @@
       next, [=] { SendRequest(attempt, std::min(kLongestRepeat, next * 2)); });
 }
 
+void VirtualFlowClient::Close() {
+  if (!open_) return;
+  open_ = false;
+  PacketHead head;
+  head.ack = head.fin = true;
+  head.sequence = sequence_;
+  head.acknowledged = server_sequence_ + 1;
+  Send(head);
+}
+
 void VirtualFlowClient::Send(PacketHead head, const std::string& payload) {
   head.source = Endpoint(address_, port_);
   head.destination = route_;
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -91,6 +91,8 @@
   std::map<std::string, ClientResult> results;
   bool busy() const { return busy_; }
   bool has_flow() const { return open_; }
+  /** Closes the open flow, if there is one. */
+  void Close();
 
  private:
   void Try();
