--- a/packages/steering/src/flow_prober.cc
+++ b/packages/steering/src/flow_prober.cc
@@ -129,6 +129,7 @@
 }
 
 bool FlowProber::AllDenied(const Pursuit& search) {
+  if (search.denied.size() < directory_.size()) return false;
   for (const AgentView* view : directory_.All()) {
     if (search.denied.count(view->agent) == 0) return false;
   }
--- a/packages/steering/src/target_directory.cc
+++ b/packages/steering/src/target_directory.cc
@@ -28,6 +28,7 @@
   const auto [it, added] = agents_.try_emplace(agent);
   AgentView& view = it->second;
   if (!added && revision <= view.revision) return;
+  const std::string service_before = view.record.service_name;
   const bool other_target = added || view.record.id != record.id ||
                             view.record.born_ms != record.born_ms;
   if (other_target) {
@@ -40,7 +41,13 @@
   view.revision = revision;
   view.listed = true;
   by_key_[key] = agent;
-  Reindex();
+  if (!added && service_before == record.service_name) return;
+  if (!added) {
+    auto& others = by_service_[service_before];
+    others.erase(std::remove(others.begin(), others.end(), &view),
+                 others.end());
+  }
+  by_service_[record.service_name].push_back(&view);
 }
 
 void TargetDirectory::Remove(TimePoint now, const std::string& key,
