--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -105,6 +105,20 @@
   CHECK_FALSE(directory.Usable(kNow, view));
 }
 
+TEST_CASE("An agent whose target changed its service is listed once") {
+  TargetDirectory directory;
+  directory.Put(kNow, "k", MakeRecord(1), 1);
+  schema::TargetRecord other = MakeRecord(1, "z", "next");
+  other.service_name = "reports";
+  directory.Put(kNow, "k", other, 2);
+  directory.Put(kNow, "k", other, 3);
+  CHECK(directory.OfService("orders").empty());
+  CHECK(directory.OfService("reports").size() == 1);
+  directory.Remove(kNow, "k", 4);
+  CHECK(directory.Expire(kNow + seconds(5), true).size() == 1);
+  CHECK(directory.OfService("reports").empty());
+}
+
 TEST_CASE("A report about another service is not believed") {
   TargetDirectory directory;
   directory.Put(kNow, "a", MakeRecord(1), 1);
