Soak of packet flows; an agent that restarted or was silent is used again

And an agent told to stop beside a living target refused new flows for 5.3 s.

Change: a new entry in the store, or 3 s, ends 'restarting'; a silent agent that was sent nothing for 1 s is tried again. A stop beside a living target takes 0.3 to 1 s: its flows are held by the target, and both ends repeat what is lost. tools/soak: the real programs under SIGTERM, SIGKILL, SIGSTOP, SIGHUP and store faults, checked from what clients and targets see; nothing asked in the calm time may be given up.

--- a/packages/steering/include/steering/target_directory.h
+++ b/packages/steering/include/steering/target_directory.h
@@ -40,6 +40,7 @@
   /** The first packet sent since the last report, if any was. */
   TimePoint unanswered_since{};
   bool unanswered = false;
+  TimePoint last_sent{};
 };
 
 /** @return requests per slot: those reported, and those placed since. */
@@ -56,6 +57,10 @@
   /** Agents report at least every 200 ms to those that send them packets. */
   static constexpr Duration kSilenceLimit = std::chrono::milliseconds(600);
 
+  /** A silent agent that was sent nothing for so long is tried again. */
+  static constexpr Duration kSilencePause = std::chrono::milliseconds(1000);
+  /** An agent that said that it restarts is tried again after this time. */
+  static constexpr Duration kRestartLimit = std::chrono::milliseconds(3000);
   /** A target that answers nothing is asked again after this time. */
   static constexpr Duration kSilentTargetPause = std::chrono::milliseconds(300);
 
--- a/packages/steering/src/target_directory.cc
+++ b/packages/steering/src/target_directory.cc
@@ -40,6 +40,10 @@
   view.service_check = ServiceCheck(record.service_name);
   view.revision = revision;
   view.listed = true;
+  // Whoever writes an entry is up.
+  view.restarting = false;
+  view.unanswered = false;
+  view.refuses_until = TimePoint();
   by_key_[key] = agent;
   if (!added && service_before == record.service_name) return;
   if (!added) {
@@ -114,19 +118,24 @@
 }
 
 void TargetDirectory::NoteSent(TimePoint now, AgentView& view) {
-  if (view.unanswered) return;
+  const bool tried_again = now - view.last_sent >= kSilencePause;
+  view.last_sent = now;
+  if (view.unanswered && !tried_again) return;
   view.unanswered = true;
   view.unanswered_since = now;
 }
 
 bool TargetDirectory::Silent(TimePoint now, const AgentView& view) const {
   return view.unanswered && now - view.unanswered_since > kSilenceLimit &&
+         now - view.last_sent < kSilencePause &&
          last_report_of_any_ > view.unanswered_since + kSilenceLimit / 2;
 }
 
 bool TargetDirectory::Usable(TimePoint now, const AgentView& view) const {
   if (view.record.state != schema::TargetState::kReady) return false;
-  if (view.restarting || now < view.refuses_until) return false;
+  const bool restarting =
+      view.restarting && now - view.last_report < kRestartLimit;
+  if (restarting || now < view.refuses_until) return false;
   if (Silent(now, view)) return false;
   return view.listed ||
          (view.reported && now - view.last_report < kUnlistedLimit);
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -119,6 +119,42 @@
   CHECK(directory.OfService("reports").empty());
 }
 
+TEST_CASE("An agent that was silent is tried again after a pause") {
+  TargetDirectory directory;
+  directory.Put(kNow, "a", MakeRecord(1), 1);
+  directory.Put(kNow, "b", MakeRecord(2), 2);
+  AgentView& view = *directory.Find(Endpoint(1, 8172));
+  TargetDirectory::NoteSent(kNow, view);
+  const TimePoint later = kNow + milliseconds(700);
+  directory.OnReport(later, MakeReport(2));
+  CHECK_FALSE(directory.Usable(later, view));
+  const TimePoint again = later + TargetDirectory::kSilencePause;
+  directory.OnReport(again, MakeReport(2));
+  CHECK(directory.Usable(again, view));
+  // The pause starts anew if it is silent still.
+  TargetDirectory::NoteSent(again, view);
+  CHECK(directory.Usable(again + milliseconds(500), view));
+  directory.OnReport(again + milliseconds(700), MakeReport(2));
+  CHECK_FALSE(directory.Usable(again + milliseconds(700), view));
+}
+
+TEST_CASE("An agent that said it restarts is used once it has listed itself") {
+  TargetDirectory directory;
+  directory.Put(kNow, "a", MakeRecord(1), 1);
+  AgentView& view = *directory.Find(Endpoint(1, 8172));
+  schema::AgentReport report = MakeReport(1);
+  report.restarting = true;
+  directory.OnReport(kNow, report);
+  CHECK_FALSE(directory.Usable(kNow, view));
+  SECTION("by its new entry") {
+    directory.Put(kNow + milliseconds(500), "a", MakeRecord(1), 2);
+    CHECK(directory.Usable(kNow + milliseconds(500), view));
+  }
+  SECTION("or after a time, if the store is away") {
+    CHECK(directory.Usable(kNow + TargetDirectory::kRestartLimit, view));
+  }
+}
+
 TEST_CASE("A report about another service is not believed") {
   TargetDirectory directory;
   directory.Put(kNow, "a", MakeRecord(1), 1);
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -11,9 +11,10 @@
 constexpr char kPart[] = "agent";
 // Signals and stops are looked at this often.
 constexpr Duration kSlowTick = std::chrono::milliseconds(200);
-// Left of the time that the platform gives for a stop.
-constexpr Duration kStopReserve = std::chrono::milliseconds(700);
-// Time for the last reports and the end of the entry once the target is gone.
+// Requests in progress are waited for so long; under the platform's grace.
+constexpr Duration kLongestStop = std::chrono::seconds(1);
+// Time for the last reports, and for the end of the entry of a target that
+// left.
 constexpr Duration kFarewell = std::chrono::milliseconds(300);
 
 FlowAgentOptions MakeOptions(const SteeringSettings& settings) {
@@ -260,10 +261,11 @@
 
 void AgentProcess::AdvanceStop() {
   const Duration since = parts_.loop.Now() - stop_began_;
-  const bool target_left = agent_.health().gone() || !agent_.health().known();
-  const bool done = target_left && (since > kFarewell);
-  // While the target lives it can be reached through this process only.
-  if (done || since > settings_.stop_grace - kStopReserve) parts_.loop.Stop();
+  if (since < kFarewell) return;
+  // A living target keeps its flows, and both ends repeat what is lost while
+  // this process starts anew: the shorter that takes, the better for callers.
+  const bool idle = agent_.health().gone() || agent_.waiting() == 0;
+  if (idle || since > kLongestStop) parts_.loop.Stop();
 }
 
 CounterValues AgentProcess::Counters() const {
--- /dev/null
+++ b/tools/soak/main.cc
@@ -0,0 +1,42 @@
+// Plays clients, routers and targets of packet flows on loopback and checks the
+// promises from what they see. run.sh starts the system and injects the faults.
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdio>
+
+#include "packet_world.h"
+
+int main(int argc, char** argv) {
+  sesamesaddle::SoakOptions options;
+  bool planned = false;
+  CLI::App app("Clients, routers and targets of packet flows on loopback.");
+  app.add_option("--balancers", options.balancers);
+  app.add_option("--targets", options.targets);
+  app.add_option("--clients", options.clients);
+  app.add_option("--seconds", options.seconds);
+  app.add_option("--calm-seconds", options.calm_seconds);
+  app.add_option("--seed", options.seed);
+  app.add_option("--base-port", options.base_port);
+  app.add_option("--store", options.store);
+  app.add_flag("--planned", planned, "Faults are planned: no flow may break");
+  CLI11_PARSE(app, argc, argv);
+  signal(SIGPIPE, SIG_IGN);
+  const sesamesaddle::SteadyClock clock;
+  sesamesaddle::EventLoop loop(clock);
+  sesamesaddle::PacketWorld world(loop, options);
+  const sesamesaddle::SoakVerdict seen = world.Run();
+  const bool held = seen.duplicate_runs == 0 && seen.wrong_service == 0 &&
+                    seen.wrong_answers == 0 && seen.changed_packets == 0 &&
+                    seen.calm_requests > 0 && seen.calm_failed == 0 &&
+                    (!planned || seen.resets == 0);
+  printf(
+      "soak: requests=%ld answered=%ld calm_requests=%ld calm_answered=%ld "
+      "calm_failed=%ld "
+      "resets=%ld duplicate_runs=%ld wrong_service=%ld wrong_answers=%ld "
+      "changed_packets=%ld verdict=%s\n",
+      seen.requests, seen.answered, seen.calm_requests, seen.calm_answered,
+      seen.calm_failed, seen.resets, seen.duplicate_runs, seen.wrong_service,
+      seen.wrong_answers, seen.changed_packets, held ? "held" : "BROKEN");
+  return held ? 0 : 1;
+}
