Signal handlers before anything else; the agent's queue and reports in a file of their own

Change: handlers first; what remains is the time before main. ServeQueue to SendReport moved to flow_agent_reports.cc without a change.

--- a/packages/daemon/src/steering_command.cc
+++ b/packages/daemon/src/steering_command.cc
@@ -102,10 +102,6 @@
 int Run(const Options& options, const SteeringSettings& settings,
         const SettingsFile& file) {
   StartLog(options.log_level);
-  signal(SIGTERM, OnSignal);
-  signal(SIGINT, OnSignal);
-  signal(SIGHUP, OnSignal);
-  signal(SIGPIPE, SIG_IGN);
   const SteadyClock clock;
   EventLoop loop(clock);
   LoopScheduler scheduler(loop);
@@ -143,6 +139,11 @@
 }
 
 int RunSteeringCommand(const std::vector<std::string>& arguments) {
+  // Before anything that takes time: a SIGHUP without a handler ends a process.
+  signal(SIGHUP, OnSignal);
+  signal(SIGTERM, OnSignal);
+  signal(SIGINT, OnSignal);
+  signal(SIGPIPE, SIG_IGN);
   Options options;
   CLI::App app("Steers packet flows on the users' platform.", "sesamesaddled");
   app.require_subcommand(1);
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -14,7 +14,6 @@
 constexpr size_t kMaxEchoBalancers = 0xffff;
 // Weight of the newest response time in the moving average.
 constexpr int kResponseShare = 8;
-constexpr Duration kSweepPeriod = std::chrono::seconds(1);
 // A flow whose target answered the SYN and whose client did not go on.
 constexpr Duration kOpeningLimit = std::chrono::seconds(3);
 
@@ -26,21 +25,6 @@
   return {head.destination, head.source};
 }
 
-schema::FlowKey ToKey(const Flow& flow) {
-  schema::FlowKey key;
-  key.caller = flow.caller.Pack();
-  key.service_address = flow.service.Pack();
-  return key;
-}
-
-std::vector<schema::FlowKey> TakeKeys(std::vector<Flow>& flows, size_t limit) {
-  std::vector<schema::FlowKey> keys;
-  const size_t count = std::min(flows.size(), limit);
-  for (size_t i = 0; i < count; ++i) keys.push_back(ToKey(flows[i]));
-  flows.erase(flows.begin(), flows.begin() + static_cast<ptrdiff_t>(count));
-  return keys;
-}
-
 /** Whether sequence number `a` is later than `b`, modulo 2^32. */
 bool After(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
 
@@ -164,44 +148,6 @@
   output_.ToTarget(std::string_view(packet, size));
 }
 
-void FlowAgent::ServeQueue(TimePoint now) {
-  const int slots = health_.announcement().slots;
-  while (!queue_.empty() && SynQueue::HasRoom(waiting_ + expected_, slots)) {
-    auto syn = queue_.Pop(now);
-    const auto head = codec_.Decode(syn->packet);
-    Open(now, syn->balancer, syn->flow, *head, syn->packet.data(),
-         syn->packet.size());
-  }
-}
-
-void FlowAgent::ExpireQueue(TimePoint now) {
-  if (queue_.empty()) return;
-  if (stopping_ || !health_.TakesFlows(now)) {
-    ReturnQueued(now, queue_.TakeAll(), HopKind::kRefused);
-  } else {
-    ReturnQueued(now, queue_.TakeExpired(now), HopKind::kYielded);
-  }
-}
-
-void FlowAgent::ReturnQueued(TimePoint now, std::vector<WaitingSyn> syns,
-                             HopKind kind) {
-  for (WaitingSyn& syn : syns) {
-    ++counters_.yielded;
-    const Duration waited = syn.waited_before + (now - syn.arrived);
-    LogLine(log_, EventKind::kRefused, kPart, "syn-returned")
-        .Add("flow", syn.flow)
-        .Add("waited", waited)
-        .Add("target", health_.announcement().id)
-        .Add("waiting", waiting_)
-        .Add("queued", queue_.size())
-        .Add("balancer", syn.balancer);
-    TouchUrgently(now, syn.balancer);
-    codec_.SetHop(syn.packet.data(), {kind, ServiceCheck(service())},
-                  SynTimes{waited, Duration::zero()}.Pack());
-    output_.ToBalancer(syn.balancer, syn.packet);
-  }
-}
-
 void FlowAgent::OnData(TimePoint now, const Endpoint& balancer,
                        const PacketHead& head, char* packet, size_t size) {
   const Flow flow = ClientFlow(head);
@@ -439,28 +385,6 @@
   --waiting_;
 }
 
-void FlowAgent::Expect(TimePoint now, const Flow& flow, FlowEntry& entry) {
-  entry.expected = true;
-  ++expected_;
-  expectations_.emplace_back(now, flow);
-}
-
-void FlowAgent::StopExpecting(FlowEntry& entry) {
-  if (!entry.expected) return;
-  entry.expected = false;
-  --expected_;
-}
-
-/** A client that opened its flow elsewhere sends no request here. */
-void FlowAgent::ExpireExpectations(TimePoint now) {
-  while (!expectations_.empty() &&
-         now - expectations_.front().first > kRequestExpected) {
-    const auto it = flows_.find(expectations_.front().second);
-    if (it != flows_.end()) StopExpecting(it->second);
-    expectations_.pop_front();
-  }
-}
-
 void FlowAgent::Erase(FlowMap::iterator it) {
   StopWaiting(it->second);
   StopExpecting(it->second);
@@ -471,22 +395,6 @@
   return complete_ || now - started_ > options_.flow_lifetime;
 }
 
-FlowAgent::BalancerView& FlowAgent::Touch(TimePoint now,
-                                          const Endpoint& balancer) {
-  BalancerView& view = balancers_[balancer];
-  view.last_packet = now;
-  return view;
-}
-
-FlowAgent::BalancerView& FlowAgent::TouchUrgently(TimePoint now,
-                                                  const Endpoint& balancer) {
-  urgent_ = true;
-  BalancerView& view = Touch(now, balancer);
-  view.packets_since_report = true;
-  view.urgent = true;
-  return view;
-}
-
 uint32_t FlowAgent::MakeEcho(const Endpoint& balancer, bool offered) {
   auto it = std::find(echo_balancers_.begin(), echo_balancers_.end(), balancer);
   if (it == echo_balancers_.end()) {
@@ -506,53 +414,6 @@
   return echo_balancers_[index];
 }
 
-void FlowAgent::OnTick(TimePoint now) {
-  urgent_ = false;
-  ExpireExpectations(now);
-  ExpireQueue(now);
-  ServeQueue(now);
-  if (now >= next_sweep_) {
-    next_sweep_ = now + kSweepPeriod;
-    ForgetOldFlows(now);
-  }
-  for (auto it = balancers_.begin(); it != balancers_.end();) {
-    BalancerView& view = it->second;
-    const bool due = view.packets_since_report || !view.accepted.empty() ||
-                     !view.held.empty() || !view.not_held.empty() ||
-                     !view.unsure.empty() || view.reported_waiting != waiting_;
-    const bool time = view.urgent || now - view.last_report >= kReportPeriod;
-    if (due && time) SendReport(now, it->first, view);
-    it = now - view.last_packet > kBalancerIdle ? balancers_.erase(it)
-                                                : std::next(it);
-  }
-}
-
-void FlowAgent::SendReport(TimePoint now, const Endpoint& balancer,
-                           BalancerView& view) {
-  schema::AgentReport report;
-  report.agent = options_.self.Pack();
-  report.service_name = service();
-  report.state = health_.state();
-  report.silent = health_.Silent(now);
-  report.queued = static_cast<int32_t>(queue_.size());
-  report.slots = health_.announcement().slots;
-  report.waiting = waiting_;
-  report.opening = expected_;
-  report.flows = static_cast<int32_t>(flows_.size());
-  report.response_us = static_cast<int32_t>(response_.count());
-  report.accepted = TakeKeys(view.accepted, kMaxFlowsPerReport);
-  report.held = TakeKeys(view.held, kMaxFlowsPerReport);
-  report.not_held = TakeKeys(view.not_held, kMaxFlowsPerReport);
-  report.unsure = TakeKeys(view.unsure, kMaxFlowsPerReport);
-  report.restarting = stopping_ && !health_.gone();
-  view.packets_since_report = false;
-  view.urgent = false;
-  view.last_report = now;
-  view.reported_waiting = waiting_;
-  ++counters_.reports;
-  output_.Report(balancer, report);
-}
-
 void FlowAgent::ForgetOldFlows(TimePoint now) {
   for (auto it = flows_.begin(); it != flows_.end();) {
     const FlowEntry& entry = it->second;
--- /dev/null
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -0,0 +1,154 @@
+// The agent's queue of new flows, its count of work to come, and its reports.
+
+#include <algorithm>
+#include <utility>
+
+#include "steering/flow_agent.h"
+
+namespace sesamesaddle {
+namespace {
+
+constexpr char kPart[] = "agent";
+constexpr Duration kSweepPeriod = std::chrono::seconds(1);
+
+schema::FlowKey ToKey(const Flow& flow) {
+  schema::FlowKey key;
+  key.caller = flow.caller.Pack();
+  key.service_address = flow.service.Pack();
+  return key;
+}
+
+std::vector<schema::FlowKey> TakeKeys(std::vector<Flow>& flows, size_t limit) {
+  std::vector<schema::FlowKey> keys;
+  const size_t count = std::min(flows.size(), limit);
+  for (size_t i = 0; i < count; ++i) keys.push_back(ToKey(flows[i]));
+  flows.erase(flows.begin(), flows.begin() + static_cast<ptrdiff_t>(count));
+  return keys;
+}
+
+}  // namespace
+
+void FlowAgent::ServeQueue(TimePoint now) {
+  const int slots = health_.announcement().slots;
+  while (!queue_.empty() && SynQueue::HasRoom(waiting_ + expected_, slots)) {
+    auto syn = queue_.Pop(now);
+    const auto head = codec_.Decode(syn->packet);
+    Open(now, syn->balancer, syn->flow, *head, syn->packet.data(),
+         syn->packet.size());
+  }
+}
+
+void FlowAgent::ExpireQueue(TimePoint now) {
+  if (queue_.empty()) return;
+  if (stopping_ || !health_.TakesFlows(now)) {
+    ReturnQueued(now, queue_.TakeAll(), HopKind::kRefused);
+  } else {
+    ReturnQueued(now, queue_.TakeExpired(now), HopKind::kYielded);
+  }
+}
+
+void FlowAgent::ReturnQueued(TimePoint now, std::vector<WaitingSyn> syns,
+                             HopKind kind) {
+  for (WaitingSyn& syn : syns) {
+    ++counters_.yielded;
+    const Duration waited = syn.waited_before + (now - syn.arrived);
+    LogLine(log_, EventKind::kRefused, kPart, "syn-returned")
+        .Add("flow", syn.flow)
+        .Add("waited", waited)
+        .Add("target", health_.announcement().id)
+        .Add("waiting", waiting_)
+        .Add("queued", queue_.size())
+        .Add("balancer", syn.balancer);
+    TouchUrgently(now, syn.balancer);
+    codec_.SetHop(syn.packet.data(), {kind, ServiceCheck(service())},
+                  SynTimes{waited, Duration::zero()}.Pack());
+    output_.ToBalancer(syn.balancer, syn.packet);
+  }
+}
+
+void FlowAgent::Expect(TimePoint now, const Flow& flow, FlowEntry& entry) {
+  entry.expected = true;
+  ++expected_;
+  expectations_.emplace_back(now, flow);
+}
+
+void FlowAgent::StopExpecting(FlowEntry& entry) {
+  if (!entry.expected) return;
+  entry.expected = false;
+  --expected_;
+}
+
+/** A client that opened its flow elsewhere sends no request here. */
+void FlowAgent::ExpireExpectations(TimePoint now) {
+  while (!expectations_.empty() &&
+         now - expectations_.front().first > kRequestExpected) {
+    const auto it = flows_.find(expectations_.front().second);
+    if (it != flows_.end()) StopExpecting(it->second);
+    expectations_.pop_front();
+  }
+}
+
+void FlowAgent::OnTick(TimePoint now) {
+  urgent_ = false;
+  ExpireExpectations(now);
+  ExpireQueue(now);
+  ServeQueue(now);
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepPeriod;
+    ForgetOldFlows(now);
+  }
+  for (auto it = balancers_.begin(); it != balancers_.end();) {
+    BalancerView& view = it->second;
+    const bool due = view.packets_since_report || !view.accepted.empty() ||
+                     !view.held.empty() || !view.not_held.empty() ||
+                     !view.unsure.empty() || view.reported_waiting != waiting_;
+    const bool time = view.urgent || now - view.last_report >= kReportPeriod;
+    if (due && time) SendReport(now, it->first, view);
+    it = now - view.last_packet > kBalancerIdle ? balancers_.erase(it)
+                                                : std::next(it);
+  }
+}
+
+void FlowAgent::SendReport(TimePoint now, const Endpoint& balancer,
+                           BalancerView& view) {
+  schema::AgentReport report;
+  report.agent = options_.self.Pack();
+  report.service_name = service();
+  report.state = health_.state();
+  report.silent = health_.Silent(now);
+  report.queued = static_cast<int32_t>(queue_.size());
+  report.slots = health_.announcement().slots;
+  report.waiting = waiting_;
+  report.opening = expected_;
+  report.flows = static_cast<int32_t>(flows_.size());
+  report.response_us = static_cast<int32_t>(response_.count());
+  report.accepted = TakeKeys(view.accepted, kMaxFlowsPerReport);
+  report.held = TakeKeys(view.held, kMaxFlowsPerReport);
+  report.not_held = TakeKeys(view.not_held, kMaxFlowsPerReport);
+  report.unsure = TakeKeys(view.unsure, kMaxFlowsPerReport);
+  report.restarting = stopping_ && !health_.gone();
+  view.packets_since_report = false;
+  view.urgent = false;
+  view.last_report = now;
+  view.reported_waiting = waiting_;
+  ++counters_.reports;
+  output_.Report(balancer, report);
+}
+
+FlowAgent::BalancerView& FlowAgent::Touch(TimePoint now,
+                                          const Endpoint& balancer) {
+  BalancerView& view = balancers_[balancer];
+  view.last_packet = now;
+  return view;
+}
+
+FlowAgent::BalancerView& FlowAgent::TouchUrgently(TimePoint now,
+                                                  const Endpoint& balancer) {
+  urgent_ = true;
+  BalancerView& view = Touch(now, balancer);
+  view.packets_since_report = true;
+  view.urgent = true;
+  return view;
+}
+
+}  // namespace sesamesaddle
