--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -591,6 +591,65 @@
   CHECK(Resets(world) == 0);
 }
 
+/**
+ * A router that knows everything keeps one table, flow to target, which changes
+ * only when the flow's target ends. Clients keep their flows open, so that with
+ * such a router nothing is opened anew, reset or lost while targets live.
+ */
+TEST_CASE("Against a router that knows everything, under random changes") {
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    SteeringWorld world(3, 6, seed);
+    SeededRandom random(seed);
+    for (int i = 0; i < 18; ++i) world.AddClient(true);
+    REQUIRE(RunRounds(world, 1, milliseconds(250)) == 18);
+    const auto accepted = [&world] {
+      std::vector<int> counts;
+      for (const auto& target : world.targets) {
+        counts.push_back(target->accepted_flows);
+      }
+      return counts;
+    };
+    const std::vector<int> table = accepted();
+    std::vector<bool> up(3, true);
+    std::string history;
+    for (int step = 0; step < 12; ++step) {
+      const size_t balancer = random.Below(3);
+      const size_t agent = random.Below(6);
+      switch (random.Below(4)) {
+        case 0:
+          // One balancer at least stays.
+          if (std::count(up.begin(), up.end(), true) == 1) break;
+          if (!up[balancer]) break;
+          world.KillBalancer(balancer);
+          up[balancer] = false;
+          history += " kill-balancer";
+          break;
+        case 1:
+          if (up[balancer]) break;
+          world.StartBalancer(balancer);
+          up[balancer] = true;
+          history += " start-balancer";
+          break;
+        case 2:
+          world.KillAgent(agent);
+          world.StartAgent(agent);
+          world.Announce(agent);
+          history += " restart-agent";
+          break;
+        default:
+          world.Announce(agent, true);
+          history += " drain";
+      }
+      INFO("seed " << seed << history);
+      CHECK(RunRounds(world, 1, milliseconds(random.Below(400))) == 18);
+    }
+    INFO("seed " << seed << history);
+    CHECK(Resets(world) == 0);
+    CHECK(world.resets == 0);
+    CHECK(accepted() == table);
+  }
+}
+
 TEST_CASE("Searching for the flows of a whole fleet costs few messages") {
   SteeringWorld world(2, 40, 14);
   for (int i = 0; i < 400; ++i) world.AddClient(true);
