--- a/tools/soak/run.sh
+++ b/tools/soak/run.sh
@@ -34,11 +34,15 @@
   echo "$file"
 }
 start() {  # ROLE INDEX
+  local file
+  file="$(settings "$1" "$2")"
   "$BIN/packages/daemon/sesamesaddled" "flow-$1" --metrics-port 0 \
-    --settings "$(settings "$1" "$2")" >>"$WORK/$1-$2.log" 2>&1 &
+    --settings "$file" >>"$WORK/$1-$2.log" 2>&1 &
   PIDS[$1-$2]=$!
 }
 stop_all() {
+  # A child that gets a signal before its exec runs this trap as well.
+  [ "$BASHPID" = "$$" ] || return
   for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
   wait 2>/dev/null
 }
