Load tool says what is wrong with an answer; a failed scenario shows its logs

The load tool now prints an answer that is not whole with its length, offset and total.

Ruled out so far: nothing.

--- a/tests/process/run.sh
+++ b/tests/process/run.sh
@@ -11,7 +11,7 @@
 
 fail() {
   echo "FAILED: $*" >&2
-  tail -n 5 "$WORK"/load.log "$WORK"/operator.log 2>/dev/null >&2
+  tail -n 5 "$WORK"/load.log "$WORK"/operator.log >&2 2>/dev/null
   exit 1
 }
 expect() { "$@" || fail "$*"; }
--- a/tools/load/caller.cc
+++ b/tools/load/caller.cc
@@ -1,5 +1,6 @@
 #include "caller.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstring>
 
@@ -246,7 +247,24 @@
             static_cast<long long>(request_.id),  // NOLINT
             options_.service.c_str(), body.c_str());
   }
-  if (!IsWholeAnswer(body)) ++report_.incomplete;
+  if (!IsWholeAnswer(body)) {
+    ++report_.incomplete;
+    constexpr size_t kShown = 60;
+    size_t length = 0;
+    size_t offset = 0;
+    size_t total = 0;
+    const uint8_t* data = nullptr;
+    coap_get_data_large(received, &length, &data, &offset, &total);
+    fprintf(stderr,
+            "load: request %lld of %s is not whole: kind=%d asked=%zu "
+            "latency_ms=%.0f bytes=%zu offset=%zu total=%zu begin=[%s] "
+            "end=[%s]\n",
+            static_cast<long long>(request_.id),  // NOLINT
+            options_.service.c_str(), static_cast<int>(request_.kind),
+            request_.bytes, latency, length, offset, total,
+            body.substr(0, kShown).c_str(),
+            body.substr(body.size() - std::min(body.size(), kShown)).c_str());
+  }
 }
 
 bool Caller::IsWholeAnswer(const std::string& body) const {
