One retry backoff, one flow key, one inspection server for all processes

Registration and ReplicaFollower each had the store's backoff with its jitter: now RetryBackoff. Flow to schema::FlowKey stood in five places: now schema/flow_key.h. BalancerProcess and AgentProcess opened the same servers and listed the same log counts: now Inspection and AddLogCounts. FlowAgent gets its start time through the constructor, SYNs that wait keep their sequence number instead of being decoded again, FlowProber's state is named SearchState.

SteeringSettings::last_port was read by nobody and is gone; shortest_lease was read by nobody and now bounds the lease of entries from below.

--- a/packages/agent/include/agent/flow_registry.h
+++ b/packages/agent/include/agent/flow_registry.h
@@ -176,10 +176,6 @@
   TimePoint next_sweep_{};
 };
 
-/** @return the flow as messages carry it, and back. */
-schema::FlowKey ToKey(const Flow& flow);
-Flow FromKey(const schema::FlowKey& key);
-
 }  // namespace sesamesaddle
 
 #endif  // SESAMESADDLE_AGENT_FLOW_REGISTRY_H_
--- a/packages/agent/src/agent.cc
+++ b/packages/agent/src/agent.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "schema/flow_key.h"
+
 namespace sesamesaddle {
 namespace {
 
--- a/packages/agent/src/agent_handover.cc
+++ b/packages/agent/src/agent_handover.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "agent/agent.h"
+#include "schema/flow_key.h"
 
 namespace sesamesaddle {
 
--- a/packages/agent/src/agent_requests.cc
+++ b/packages/agent/src/agent_requests.cc
@@ -4,6 +4,7 @@
 
 #include "agent/agent.h"
 #include "core/hash.h"
+#include "schema/flow_key.h"
 
 namespace sesamesaddle {
 namespace {
--- a/packages/agent/src/flow_registry.cc
+++ b/packages/agent/src/flow_registry.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "schema/flow_key.h"
+
 namespace sesamesaddle {
 namespace {
 
@@ -17,17 +19,6 @@
 
 }  // namespace
 
-schema::FlowKey ToKey(const Flow& flow) {
-  schema::FlowKey key;
-  key.caller = flow.caller.Pack();
-  key.service_address = flow.service.Pack();
-  return key;
-}
-
-Flow FromKey(const schema::FlowKey& key) {
-  return {Endpoint::Unpack(key.caller), Endpoint::Unpack(key.service_address)};
-}
-
 FlowRegistry::FlowRegistry(ControlPlane& control, LoadView& loads,
                            PeerLiveness& liveness, RandomSource& random,
                            const FlowRegistryOptions& options)
--- a/packages/agent/src/handover.cc
+++ b/packages/agent/src/handover.cc
@@ -1,6 +1,7 @@
 #include "agent/handover.h"
 
 #include "schema/codec.h"
+#include "schema/flow_key.h"
 
 namespace sesamesaddle {
 
--- a/packages/agent/tests/agent_test.cc
+++ b/packages/agent/tests/agent_test.cc
@@ -9,6 +9,7 @@
 
 #include "agent/lender.h"
 #include "coap/message.h"
+#include "schema/flow_key.h"
 
 namespace sesamesaddle {
 namespace {
--- a/packages/registry/include/registry/registration.h
+++ b/packages/registry/include/registry/registration.h
@@ -8,6 +8,7 @@
 #include "core/event_log.h"
 #include "core/random.h"
 #include "core/scheduler.h"
+#include "registry/retry_backoff.h"
 #include "store/store.h"
 
 namespace sesamesaddle {
@@ -64,9 +65,9 @@
 
   Store& store_;
   Scheduler& scheduler_;
-  RandomSource& random_;
   EventLog& log_;
   RegistrationTimes times_;
+  RetryBackoff backoff_;
   std::string key_;
   std::string wanted_;
   std::string written_;
@@ -79,7 +80,6 @@
   KeyVersion version_;
   TimePoint next_renewal_{};
   TimePoint next_check_{};
-  Duration backoff_{};
   int64_t timer_generation_ = 0;
   std::shared_ptr<Life> life_ = std::make_shared<Life>();
 };
--- a/packages/registry/include/registry/replica_follower.h
+++ b/packages/registry/include/registry/replica_follower.h
@@ -8,6 +8,7 @@
 #include "core/event_log.h"
 #include "core/random.h"
 #include "core/scheduler.h"
+#include "registry/retry_backoff.h"
 #include "steering_types.h"
 #include "store/store.h"
 
@@ -93,10 +94,10 @@
 
   Store& store_;
   Scheduler& scheduler_;
-  RandomSource& random_;
   EventLog& log_;
   ReplicaKeys keys_;
   FollowerTimes times_;
+  RetryBackoff backoff_;
   ReplicaListener& listener_;
   std::string configuration_;
   int64_t configuration_revision_ = 0;
@@ -108,7 +109,6 @@
   bool store_failed_ = false;
   TimePoint failed_since_{};
   TimePoint started_{};
-  Duration backoff_{};
 };
 
 }  // namespace sesamesaddle
--- a/packages/registry/src/registration.cc
+++ b/packages/registry/src/registration.cc
@@ -15,9 +15,9 @@
                            RegistrationTimes times, std::string key)
     : store_(store),
       scheduler_(scheduler),
-      random_(random),
       log_(log),
       times_(times),
+      backoff_(random, times.first_retry, times.last_retry),
       key_(std::move(key)) {}
 
 Registration::~Registration() = default;
@@ -163,10 +163,7 @@
         .Add("reason", Describe(error));
   }
   store_failed_ = true;
-  backoff_ =
-      std::min(times_.last_retry, std::max(times_.first_retry, backoff_ * 2));
-  const auto spread = static_cast<uint64_t>(backoff_.count() / 2);
-  WaitThenStep(backoff_ / 2 + Duration(random_.Below(spread)));
+  WaitThenStep(backoff_.Next());
 }
 
 void Registration::OnSuccess() {
@@ -177,7 +174,7 @@
     LogLine(log_, EventKind::kDependency, kPart, "store-regained")
         .Add("key", key_);
   }
-  backoff_ = Duration::zero();
+  backoff_.Reset();
   Step();
 }
 
--- a/packages/registry/src/replica_follower.cc
+++ b/packages/registry/src/replica_follower.cc
@@ -21,10 +21,10 @@
                                  ReplicaListener& listener)
     : store_(store),
       scheduler_(scheduler),
-      random_(random),
       log_(log),
       keys_(std::move(keys)),
       times_(times),
+      backoff_(random, times.first_retry, times.last_retry),
       listener_(listener) {}
 
 bool ReplicaFollower::OfDirectory(const std::string& key) const {
@@ -177,10 +177,7 @@
         .Add("revision", directory_revision_);
   }
   store_failed_ = true;
-  backoff_ =
-      std::min(times_.last_retry, std::max(times_.first_retry, backoff_ * 2));
-  const auto spread = static_cast<uint64_t>(backoff_.count() / 2);
-  scheduler_.After(backoff_ / 2 + Duration(random_.Below(spread)), [this] {
+  scheduler_.After(backoff_.Next(), [this] {
     if (list_needed_) {
       List();
     } else {
@@ -190,7 +187,7 @@
 }
 
 void ReplicaFollower::OnAnswer() {
-  backoff_ = Duration::zero();
+  backoff_.Reset();
   if (!store_failed_) return;
   store_failed_ = false;
   started_ = scheduler_.Now();
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -92,7 +92,8 @@
   /** Largest number of flows a report names in each list. */
   static constexpr size_t kMaxFlowsPerReport = 40;
 
-  FlowAgent(FlowAgentOptions options, const PacketCodec& codec,
+  /** @param now  when this process started */
+  FlowAgent(TimePoint now, FlowAgentOptions options, const PacketCodec& codec,
             FlowAgentOutput& output, EventLog& log,
             DurationObserver& response_times);
 
@@ -160,7 +161,7 @@
   void OnSyn(TimePoint now, const Endpoint& balancer, const PacketHead& head,
              char* packet, size_t size);
   void Open(TimePoint now, const Endpoint& balancer, const Flow& flow,
-            const PacketHead& head, char* packet, size_t size);
+            uint32_t sequence, char* packet, size_t size);
   /** Lets waiting flows go on as far as the target has room. */
   void ServeQueue(TimePoint now);
   void ExpireQueue(TimePoint now);
@@ -208,7 +209,7 @@
   std::unordered_map<Endpoint, BalancerView> balancers_;
   /** Balancers by the index that an echo names. */
   std::vector<Endpoint> echo_balancers_;
-  TimePoint started_{};
+  TimePoint started_;
   TimePoint next_sweep_{};
   int waiting_ = 0;
   int expected_ = 0;
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -119,6 +119,8 @@
   /** A SYN that no target has accepted yet. */
   struct Placing {
     std::string packet;
+    /** Sequence number of the SYN. */
+    uint32_t sequence = 0;
     std::vector<Endpoint> refused;
     TimePoint arrived{};
     TimePoint retry_at{};
@@ -157,7 +159,6 @@
   void RetryPlacements(TimePoint now);
   void ForgetOldFlows(TimePoint now);
 
-  std::string zone_;
   const PacketCodec& codec_;
   TargetDirectory& directory_;
   PlacementPolicy& placement_;
--- a/packages/steering/include/steering/flow_prober.h
+++ b/packages/steering/include/steering/flow_prober.h
@@ -73,10 +73,9 @@
   void OnTick(TimePoint now);
 
   bool idle() const { return searches_.empty(); }
-  size_t size() const { return searches_.size(); }
 
  private:
-  struct Pursuit {
+  struct SearchState {
     std::vector<std::string> packets;
     std::vector<std::string> services;
     std::set<Endpoint> asked;
@@ -87,15 +86,16 @@
     TimePoint next_round{};
   };
 
-  void AskRound(TimePoint now, const Flow& flow, Pursuit& search,
+  void AskRound(TimePoint now, const Flow& flow, SearchState& search,
                 const std::vector<AgentView*>& agents);
-  std::vector<AgentView*> NextAgents(const Flow& flow, const Pursuit& search);
-  bool AllDenied(const Pursuit& search);
+  std::vector<AgentView*> NextAgents(const Flow& flow,
+                                     const SearchState& search);
+  bool AllDenied(const SearchState& search);
 
   std::string zone_;
   TargetDirectory& directory_;
   FlowProberOutput& output_;
-  std::unordered_map<Flow, Pursuit> searches_;
+  std::unordered_map<Flow, SearchState> searches_;
 };
 
 }  // namespace sesamesaddle
--- a/packages/steering/include/steering/syn_queue.h
+++ b/packages/steering/include/steering/syn_queue.h
@@ -1,6 +1,7 @@
 #ifndef SESAMESADDLE_STEERING_SYN_QUEUE_H_
 #define SESAMESADDLE_STEERING_SYN_QUEUE_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,6 +16,8 @@
 struct WaitingSyn {
   Flow flow;
   std::string packet;
+  /** Sequence number of the SYN. */
+  uint32_t sequence = 0;
   Endpoint balancer;
   int priority = 0;
   /** When it came to this queue. */
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "schema/flow_key.h"
+
 namespace sesamesaddle {
 namespace {
 
@@ -30,14 +32,15 @@
 
 }  // namespace
 
-FlowAgent::FlowAgent(FlowAgentOptions options, const PacketCodec& codec,
-                     FlowAgentOutput& output, EventLog& log,
-                     DurationObserver& response_times)
+FlowAgent::FlowAgent(TimePoint now, FlowAgentOptions options,
+                     const PacketCodec& codec, FlowAgentOutput& output,
+                     EventLog& log, DurationObserver& response_times)
     : options_(std::move(options)),
       codec_(codec),
       output_(output),
       log_(log),
-      response_times_(response_times) {}
+      response_times_(response_times),
+      started_(now) {}
 
 const std::string& FlowAgent::service() const {
   return health_.known() ? health_.announcement().service : options_.service;
@@ -45,7 +48,6 @@
 
 void FlowAgent::OnBalancerPacket(TimePoint now, const Endpoint& balancer,
                                  char* packet, size_t size) {
-  if (started_ == TimePoint()) started_ = now;
   const auto head = codec_.Decode(std::string_view(packet, size));
   if (!head || (head->tag.kind != HopKind::kDirect &&
                 head->tag.kind != HopKind::kOffer)) {
@@ -74,8 +76,7 @@
                         const schema::FlowQuery& query) {
   BalancerView& view = TouchUrgently(now, balancer);
   for (const schema::FlowKey& key : query.flows) {
-    const Flow flow{Endpoint::Unpack(key.caller),
-                    Endpoint::Unpack(key.service_address)};
+    const Flow flow = FromKey(key);
     const auto it = flows_.find(flow);
     if (it == flows_.end()) {
       const bool sure = health_.gone() || KnowsAllFlows(now);
@@ -108,14 +109,14 @@
   const int slots = health_.announcement().slots;
   if (copy ||
       (queue_.empty() && SynQueue::HasRoom(waiting_ + expected_, slots))) {
-    Open(now, balancer, flow, head, packet, size);
+    Open(now, balancer, flow, head.sequence, packet, size);
     return;
   }
   if (queue_.Contains(flow)) return;
   const SynTimes times = SynTimes::Unpack(head.echo);
-  WaitingSyn syn{
-      flow,         std::string(packet, size), balancer, head.tag.priority, now,
-      times.waited, times.target_latency};
+  WaitingSyn syn{flow,         std::string(packet, size), head.sequence,
+                 balancer,     head.tag.priority,         now,
+                 times.waited, times.target_latency};
   if (!queue_.Push(std::move(syn), slots)) {
     Refuse(now, balancer, flow, "queue-full", packet, size);
     return;
@@ -126,17 +127,17 @@
 }
 
 void FlowAgent::Open(TimePoint now, const Endpoint& balancer, const Flow& flow,
-                     const PacketHead& head, char* packet, size_t size) {
+                     uint32_t sequence, char* packet, size_t size) {
   const auto [it, added] = flows_.try_emplace(flow);
   FlowEntry& entry = it->second;
   const bool copy = !added && entry.state == FlowState::kOpening &&
-                    entry.client_sequence == head.sequence;
+                    entry.client_sequence == sequence;
   if (!copy) {
     // A client's port that is used again names a new flow.
     StopWaiting(entry);
     StopExpecting(entry);
     entry = FlowEntry();
-    entry.client_sequence = head.sequence;
+    entry.client_sequence = sequence;
     entry.opened = now;
     Expect(now, flow, entry);
   }
@@ -219,7 +220,6 @@
 }
 
 void FlowAgent::OnTargetPacket(TimePoint now, char* packet, size_t size) {
-  if (started_ == TimePoint()) started_ = now;
   const auto head = codec_.Decode(std::string_view(packet, size));
   if (!head) {
     ++counters_.malformed;
@@ -346,7 +346,6 @@
 
 AnnouncementEffect FlowAgent::OnAnnouncement(
     TimePoint now, const TargetAnnouncement& announcement) {
-  if (started_ == TimePoint()) started_ = now;
   const AnnouncementEffect effect = health_.OnAnnouncement(now, announcement);
   constexpr int64_t kFirstSequence = 1;
   if (effect != AnnouncementEffect::kStale &&
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "schema/flow_key.h"
 #include "steering/flow_agent.h"
 
 namespace sesamesaddle {
@@ -11,13 +12,6 @@
 constexpr char kPart[] = "agent";
 constexpr Duration kSweepPeriod = std::chrono::seconds(1);
 
-schema::FlowKey ToKey(const Flow& flow) {
-  schema::FlowKey key;
-  key.caller = flow.caller.Pack();
-  key.service_address = flow.service.Pack();
-  return key;
-}
-
 std::vector<schema::FlowKey> TakeKeys(std::vector<Flow>& flows, size_t limit) {
   std::vector<schema::FlowKey> keys;
   const size_t count = std::min(flows.size(), limit);
@@ -32,8 +26,7 @@
   const int slots = health_.announcement().slots;
   while (!queue_.empty() && SynQueue::HasRoom(waiting_ + expected_, slots)) {
     auto syn = queue_.Pop(now);
-    const auto head = codec_.Decode(syn->packet);
-    Open(now, syn->balancer, syn->flow, *head, syn->packet.data(),
+    Open(now, syn->balancer, syn->flow, syn->sequence, syn->packet.data(),
          syn->packet.size());
   }
 }
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "schema/flow_key.h"
+
 namespace sesamesaddle {
 namespace {
 
@@ -17,10 +19,6 @@
 // A SYN that was sent to targets is repeated for so long.
 constexpr Duration kPlacingLimit = std::chrono::milliseconds(400);
 
-Flow ToFlow(const schema::FlowKey& key) {
-  return {Endpoint::Unpack(key.caller), Endpoint::Unpack(key.service_address)};
-}
-
 std::vector<std::string> ServicesOf(const Route& route) {
   std::vector<std::string> services;
   for (const auto& share : route.services) services.push_back(share.service);
@@ -33,13 +31,12 @@
                            TargetDirectory& directory,
                            PlacementPolicy& placement,
                            FlowBalancerOutput& output, EventLog& log)
-    : zone_(std::move(zone)),
-      codec_(codec),
+    : codec_(codec),
       directory_(directory),
       placement_(placement),
       output_(output),
       log_(log),
-      prober_(zone_, directory, *this) {}
+      prober_(std::move(zone), directory, *this) {}
 
 void FlowBalancer::OnClientPacket(TimePoint now, char* packet, size_t size) {
   ++counters_.packets;
@@ -82,6 +79,7 @@
   Placing& placing = placing_[flow];
   if (placing.packet.empty()) placing.arrived = now;
   placing.packet = std::string(packet);
+  placing.sequence = head.sequence;
   Place(now, flow, *routes_.Find(flow.service), placing);
 }
 
@@ -146,12 +144,11 @@
                         AgentView& chosen, Placing& placing) {
   FlowEntry& entry = flows_[flow];
   ++(entry.tried.empty() ? counters_.placed : counters_.placed_again);
-  const auto head = codec_.Decode(placing.packet);
   entry.agent = chosen.agent;
   entry.tried.push_back(chosen.agent);
   entry.accepted = false;
   entry.runs_once = route.kind == RequestKind::kRunsOnce;
-  entry.syn_sequence = head->sequence;
+  entry.syn_sequence = placing.sequence;
   entry.last_packet = now;
   ++chosen.placed_since_report;
   LogLine(log_, EventKind::kPlaced, kPart, "flow-placed")
@@ -239,10 +236,7 @@
 
 void FlowBalancer::Ask(TimePoint now, AgentView& agent, const Flow& flow) {
   TargetDirectory::NoteSent(now, agent);
-  schema::FlowKey key;
-  key.caller = flow.caller.Pack();
-  key.service_address = flow.service.Pack();
-  queries_[agent.agent].push_back(key);
+  queries_[agent.agent].push_back(ToKey(flow));
 }
 
 void FlowBalancer::FlushQueries(TimePoint now) {
@@ -336,6 +330,7 @@
     // The agent had kept the SYN for a while.
     placing.arrived = now - SynTimes::Unpack(head.echo).waited;
     placing.packet.assign(packet);
+    placing.sequence = head.sequence;
     codec_.SetHop(placing.packet.data(), HopTag(), 0);
   }
   if (refused) placing.refused.push_back(agent->agent);
@@ -354,18 +349,18 @@
   directory_.OnReport(now, report);
   if (agent == nullptr) return;
   for (const auto& key : report.accepted) {
-    const Flow flow = ToFlow(key);
+    const Flow flow = FromKey(key);
     const auto it = flows_.find(flow);
     if (it == flows_.end()) continue;
     placing_.erase(flow);
     if (it->second.tried.size() == 1) it->second.accepted = true;
   }
-  for (const auto& key : report.held) OnHolderFound(now, ToFlow(key), *agent);
+  for (const auto& key : report.held) OnHolderFound(now, FromKey(key), *agent);
   for (const auto& key : report.unsure) {
-    prober_.OnUnsure(now, ToFlow(key), agent->agent);
+    prober_.OnUnsure(now, FromKey(key), agent->agent);
   }
   for (const auto& key : report.not_held) {
-    prober_.OnNotHeld(now, ToFlow(key), agent->agent);
+    prober_.OnNotHeld(now, FromKey(key), agent->agent);
   }
 }
 
--- a/packages/steering/src/flow_prober.cc
+++ b/packages/steering/src/flow_prober.cc
@@ -13,7 +13,7 @@
                         const std::vector<Endpoint>& likely,
                         const std::vector<Endpoint>& denied) {
   const auto [it, added] = searches_.try_emplace(flow);
-  Pursuit& search = it->second;
+  SearchState& search = it->second;
   search.acknowledged = head.acknowledged;
   for (const Endpoint& agent : denied) search.denied.insert(agent);
   if (added) {
@@ -50,7 +50,7 @@
   AskRound(now, flow, search, first);
 }
 
-void FlowProber::AskRound(TimePoint now, const Flow& flow, Pursuit& search,
+void FlowProber::AskRound(TimePoint now, const Flow& flow, SearchState& search,
                           const std::vector<AgentView*>& agents) {
   search.next_round = now + kRoundTime;
   for (AgentView* view : agents) {
@@ -71,7 +71,7 @@
 }
 
 std::vector<AgentView*> FlowProber::NextAgents(const Flow& flow,
-                                               const Pursuit& search) {
+                                               const SearchState& search) {
   const auto open = [&search](const AgentView* view) {
     return search.asked.count(view->agent) == 0 &&
            search.denied.count(view->agent) == 0;
@@ -113,7 +113,7 @@
                            const Endpoint& agent) {
   const auto it = searches_.find(flow);
   if (it == searches_.end()) return;
-  Pursuit& search = it->second;
+  SearchState& search = it->second;
   search.denied.insert(agent);
   if (AllDenied(search)) {
     const uint32_t acknowledged = search.acknowledged;
@@ -128,7 +128,7 @@
   if (round_over) AskRound(now, flow, search, NextAgents(flow, search));
 }
 
-bool FlowProber::AllDenied(const Pursuit& search) {
+bool FlowProber::AllDenied(const SearchState& search) {
   if (search.denied.size() < directory_.size()) return false;
   for (const AgentView* view : directory_.All()) {
     if (search.denied.count(view->agent) == 0) return false;
@@ -138,7 +138,7 @@
 
 void FlowProber::OnTick(TimePoint now) {
   for (auto it = searches_.begin(); it != searches_.end();) {
-    Pursuit& search = it->second;
+    SearchState& search = it->second;
     if (now - search.started > kSearchLimit) {
       it = searches_.erase(it);
       continue;
--- a/packages/steering_daemon/include/steering_daemon/agent_process.h
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -7,6 +7,8 @@
 #include "net/packet_socket.h"
 #include "registry/registration.h"
 #include "steering/flow_agent.h"
+#include "steering_daemon/inspection.h"
+#include "steering_daemon/metrics.h"
 #include "steering_daemon/settings_watcher.h"
 #include "steering_daemon/steering_process.h"
 
@@ -58,8 +60,7 @@
   std::unique_ptr<PacketSocket> balancers_;
   std::unique_ptr<PacketSocket> target_;
   std::unique_ptr<PacketSocket> control_;
-  std::unique_ptr<HttpServer> inspection_;
-  std::unique_ptr<HttpServer> metrics_;
+  Inspection inspection_;
   EventLoop::Timer report_timer_;
   EventLoop::Timer slow_timer_;
   bool report_timer_set_ = false;
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -8,6 +8,8 @@
 #include "registry/registration.h"
 #include "registry/replica_follower.h"
 #include "steering/flow_balancer.h"
+#include "steering_daemon/inspection.h"
+#include "steering_daemon/metrics.h"
 #include "steering_daemon/replica_exchange.h"
 #include "steering_daemon/settings_watcher.h"
 #include "steering_daemon/steering_process.h"
@@ -66,8 +68,7 @@
   std::unique_ptr<PacketSocket> clients_;
   std::unique_ptr<PacketSocket> agents_;
   std::unique_ptr<PacketSocket> control_;
-  std::unique_ptr<HttpServer> inspection_;
-  std::unique_ptr<HttpServer> metrics_;
+  Inspection inspection_;
   EventLoop::Timer fast_timer_;
   EventLoop::Timer slow_timer_;
   EventLoop::Timer exchange_timer_;
--- a/packages/steering_daemon/include/steering_daemon/metrics.h
+++ b/packages/steering_daemon/include/steering_daemon/metrics.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 
+#include "core/event_log.h"
 #include "steering/flow_agent.h"
 
 namespace sesamesaddle {
@@ -15,6 +16,9 @@
 /** Counters and gauges by name; names that end in _total are counters. */
 using CounterValues = std::map<std::string, int64_t>;
 
+/** Adds the counts of log lines, the same in every process. */
+void AddLogCounts(const EventLogCounts& counts, CounterValues& values);
+
 /** Durations as a histogram of seconds. */
 class LatencyHistogram : public DurationObserver {
  public:
--- a/packages/steering_daemon/include/steering_daemon/steering_process.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_process.h
@@ -2,8 +2,6 @@
 #define SESAMESADDLE_STEERING_DAEMON_STEERING_PROCESS_H_
 
 #include <atomic>
-#include <functional>
-#include <memory>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -11,12 +9,11 @@
 #include "core/random.h"
 #include "core/scheduler.h"
 #include "net/event_loop.h"
-#include "net/http_server.h"
 #include "net/net_error.h"
+#include "registry/registration.h"
 #include "steering/configuration_decoder.h"
 #include "steering/packet.h"
 #include "steering_daemon/host.h"
-#include "steering_daemon/metrics.h"
 #include "steering_daemon/steering_settings.h"
 #include "steering_types.h"
 #include "store/store.h"
@@ -60,29 +57,8 @@
   static constexpr char kBalancerPrefix[] = "sesamesaddle/balancer/";
 };
 
-/** What an operator may ask a process over HTTP. */
-struct InspectionSources {
-  std::function<std::string()> metrics;
-  std::function<std::string()> state;
-  /** Empty where the process keeps no replica. */
-  std::function<std::string()> replica;
-};
-
-/** Path at which a balancer serves its replica to its peers. */
-constexpr char kReplicaPath[] = "/v1/replica";
-
-/** Serves metrics, the state dump and a balancer's replica. */
-tl::expected<std::unique_ptr<HttpServer>, NetError> OpenInspection(
-    EventLoop& loop, const Endpoint& listen, InspectionSources sources);
-
-/**
- * Serves the same at the metrics port, if one is set. A port that is taken is
- * logged and done without.
- */
-std::unique_ptr<HttpServer> OpenMetrics(EventLoop& loop,
-                                        const SteeringSettings& settings,
-                                        EventLog& log,
-                                        const InspectionSources& sources);
+/** @return the times of an entry under a lease that the store grants. */
+RegistrationTimes TimesOfEntry(const SteeringSettings& settings);
 
 }  // namespace sesamesaddle
 
--- a/packages/steering_daemon/include/steering_daemon/steering_settings.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_settings.h
@@ -29,9 +29,8 @@
   /** Agent: the service of its target. */
   std::string service;
   Endpoint store;
-  /** Ports that the processes of the system may use between them. */
+  /** First of the ports that the processes of the system use between them. */
   uint16_t first_port = 0;
-  uint16_t last_port = 0;
   /** Balancers that may serve their replica at the start. */
   std::vector<Endpoint> seeds;
   /** Where metrics are served besides the peers' ports; 0: nowhere. */
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -34,8 +34,8 @@
       response_times_(histograms_, "response_seconds",
                       "From the first packet of a request at the target to the "
                       "first packet of its answer"),
-      agent_(MakeOptions(settings_), parts.codec, *this, parts.log,
-             response_times_) {}
+      agent_(parts.loop.Now(), MakeOptions(settings_), parts.codec, *this,
+             parts.log, response_times_) {}
 
 tl::expected<void, NetError> AgentProcess::Open() {
   auto opened = OpenSockets();
@@ -43,12 +43,9 @@
   const InspectionSources sources{
       [this] { return FormatMetrics(Counters(), &histograms_); },
       [this] { return State(); }, nullptr};
-  auto inspection = OpenInspection(
-      parts_.loop, PeerEndpoint(settings_, settings_.ip, PeerPort::kReplica),
-      sources);
-  if (!inspection) return tl::unexpected(inspection.error());
-  metrics_ = OpenMetrics(parts_.loop, settings_, parts_.log, sources);
-  inspection_ = std::move(*inspection);
+  auto inspected =
+      inspection_.Open(parts_.loop, settings_, parts_.log, sources);
+  if (!inspected) return inspected;
   return {};
 }
 
@@ -186,7 +183,7 @@
   if (registration_ == nullptr || agent_.health().gone()) {
     registration_ = std::make_unique<Registration>(
         parts_.store, parts_.scheduler, parts_.random, parts_.log,
-        RegistrationTimes(), DirectoryKeys::OfTarget(settings_.packets));
+        TimesOfEntry(settings_), DirectoryKeys::OfTarget(settings_.packets));
   }
   registration_->Publish(EncodeCompact(MakeRecord()));
 }
@@ -270,11 +267,7 @@
 
 CounterValues AgentProcess::Counters() const {
   const FlowAgentCounters& c = agent_.counters();
-  const EventLogCounts lines = parts_.log.counts();
-  return {
-      {"log_lines_total", lines.written},
-      {"log_lines_left_out_total", lines.left_out},
-      {"log_lines_dropped_total", lines.dropped},
+  CounterValues values = {
       {"packets_to_target_total", c.packets_to_target},
       {"packets_to_clients_total", c.packets_to_clients},
       {"syns_total", c.syns},
@@ -299,6 +292,8 @@
       {"send_failures_total",
        balancers_->send_failures() + target_->send_failures()},
   };
+  AddLogCounts(parts_.log.counts(), values);
+  return values;
 }
 
 std::string AgentProcess::State() const {
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -46,7 +46,7 @@
                   SendVersion(control, version);
                 }),
       registration_(parts.store, parts.scheduler, parts.random, parts.log,
-                    RegistrationTimes(),
+                    TimesOfEntry(settings_),
                     DirectoryKeys::OfBalancer(PeerEndpoint(
                         settings_, settings_.ip, PeerPort::kControl))) {}
 
@@ -57,12 +57,9 @@
       [this] { return FormatMetrics(Counters(), nullptr); },
       [this] { return State(); },
       [this] { return EncodeCompact(follower_.Snapshot()); }};
-  auto inspection = OpenInspection(
-      parts_.loop, PeerEndpoint(settings_, settings_.ip, PeerPort::kReplica),
-      sources);
-  if (!inspection) return tl::unexpected(inspection.error());
-  metrics_ = OpenMetrics(parts_.loop, settings_, parts_.log, sources);
-  inspection_ = std::move(*inspection);
+  auto inspected =
+      inspection_.Open(parts_.loop, settings_, parts_.log, sources);
+  if (!inspected) return inspected;
   AddSeeds();
   return {};
 }
@@ -303,11 +300,7 @@
 
 CounterValues BalancerProcess::Counters() const {
   const FlowBalancerCounters& c = balancer_.counters();
-  const EventLogCounts lines = parts_.log.counts();
-  return {
-      {"log_lines_total", lines.written},
-      {"log_lines_left_out_total", lines.left_out},
-      {"log_lines_dropped_total", lines.dropped},
+  CounterValues values = {
       {"client_packets_total", c.packets},
       {"syns_total", c.syns},
       {"flows_placed_total", c.placed},
@@ -336,6 +329,8 @@
       {"send_failures_total",
        clients_->send_failures() + agents_->send_failures()},
   };
+  AddLogCounts(parts_.log.counts(), values);
+  return values;
 }
 
 std::string BalancerProcess::State() {
--- /dev/null
+++ b/packages/steering_daemon/src/inspection.cc
@@ -0,0 +1,55 @@
+#include "steering_daemon/inspection.h"
+
+#include <utility>
+
+namespace sesamesaddle {
+namespace {
+
+tl::expected<std::unique_ptr<HttpServer>, NetError> Serve(
+    EventLoop& loop, const Endpoint& listen, InspectionSources sources) {
+  constexpr int kNotFoundStatus = 404;
+  return HttpServer::Open(
+      loop, listen,
+      [sources = std::move(sources)](
+          const HttpRequest& request,
+          const std::shared_ptr<HttpResponder>& responder) {
+        HttpResponse response;
+        if (request.path == "/metrics") {
+          response.body = sources.metrics();
+        } else if (request.path == "/v1/state") {
+          response.content_type = "application/json";
+          response.body = sources.state();
+        } else if (request.path == kReplicaPath && sources.replica) {
+          response.content_type = "application/octet-stream";
+          response.body = sources.replica();
+        } else {
+          response.status = kNotFoundStatus;
+          response.body = "there is no such path\n";
+        }
+        responder->Send(response);
+      });
+}
+
+}  // namespace
+
+tl::expected<void, NetError> Inspection::Open(
+    EventLoop& loop, const SteeringSettings& settings, EventLog& log,
+    const InspectionSources& sources) {
+  auto peers = Serve(
+      loop, PeerEndpoint(settings, settings.ip, PeerPort::kReplica), sources);
+  if (!peers) return tl::unexpected(peers.error());
+  peers_ = std::move(*peers);
+  if (settings.metrics_port == 0) return {};
+  auto metrics =
+      Serve(loop, Endpoint(settings.ip, settings.metrics_port), sources);
+  if (metrics) {
+    metrics_ = std::move(*metrics);
+    return {};
+  }
+  LogLine(log, EventKind::kDependency, "daemon", "metrics-not-served")
+      .Add("port", settings.metrics_port)
+      .Add("reason", metrics.error().message);
+  return {};
+}
+
+}  // namespace sesamesaddle
--- a/packages/steering_daemon/src/metrics.cc
+++ b/packages/steering_daemon/src/metrics.cc
@@ -39,6 +39,12 @@
 
 }  // namespace
 
+void AddLogCounts(const EventLogCounts& counts, CounterValues& values) {
+  values["log_lines_total"] = counts.written;
+  values["log_lines_left_out_total"] = counts.left_out;
+  values["log_lines_dropped_total"] = counts.dropped;
+}
+
 LatencyHistogram::LatencyHistogram(prometheus::Registry& registry,
                                    const std::string& name,
                                    const std::string& help)
--- a/packages/steering_daemon/src/replica_exchange.cc
+++ b/packages/steering_daemon/src/replica_exchange.cc
@@ -3,7 +3,7 @@
 #include <iterator>
 
 #include "schema/codec.h"
-#include "steering_daemon/steering_process.h"
+#include "steering_daemon/inspection.h"
 
 namespace sesamesaddle {
 namespace {
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -53,7 +53,8 @@
   Agent(SteeringWorld& world, size_t index)
       : world(world),
         index(index),
-        flows({AgentAddress(index), kService, std::chrono::seconds(60)},
+        flows(world.scheduler.Now(),
+              {AgentAddress(index), kService, std::chrono::seconds(60)},
               world.codec_, *this, world.log_, observer) {}
 
   void ToTarget(std::string_view packet) override {
