Load tool: a single block is no answer; orders that ran twice are named

A network may repeat datagrams at any time, and here a frozen balancer does: it passes on an answer that it held while the caller's own repetition was answered through another one. The load tool took the block for the answer: without its first line no service (wrong_service), without its last one not whole (incomplete).

Every one of the 12 cases traced had the right bytes of its own answer, at the offset that it named (bytes=1024 offset=1024|2048|0 total=5025..5044).

Now a block is checked to be one of this request's answer, byte for byte against what the target makes of the id (a wrong one counts as wrong_answers), and the answer is asked for again, at most five times; then it counts as incomplete. The bytes of a large answer are made in one place for target and load.

Ruled out: answers of other requests or services (all bytes belong to the id); a busy machine as the whole cause: it only makes the repetition likely.

--- a/standins/target/main.cc
+++ b/standins/target/main.cc
@@ -20,6 +20,7 @@
 #include "core/hash.h"
 #include "core/random.h"
 #include "core/time.h"
+#include "large_body.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "net/query.h"
@@ -175,12 +176,7 @@
     const std::string id = QueryValue(request.query, "id");
     const std::string size = QueryValue(request.query, "size");
     const size_t bytes = size.empty() ? 5000 : std::stoul(size);
-    uint64_t state = Hash64(id);
-    while (body.size() < bytes) {
-      body += std::to_string(state) + "\n";
-      state = HashPair(state, state);
-    }
-    body.resize(std::max(bytes, body.size()));
+    if (body.size() < bytes) body += LargeBody(id, bytes - body.size());
     body += "end=" + std::to_string(Hash64(body)) + "\n";
   }
 
--- a/tools/load/caller.cc
+++ b/tools/load/caller.cc
@@ -1,10 +1,10 @@
 #include "caller.h"
 
-#include <algorithm>
 #include <cstdio>
 #include <cstring>
 
 #include "core/hash.h"
+#include "large_body.h"
 
 namespace sesamesaddle {
 namespace {
@@ -13,16 +13,29 @@
 constexpr Duration kFeedSilence = std::chrono::seconds(25);
 constexpr Duration kFeedRetry = std::chrono::seconds(1);
 constexpr int kMaxChallenges = 3;
+// A transfer that was broken up so often will not end.
+constexpr int kMaxPieces = 5;
 
-std::string TextOf(const coap_pdu_t* pdu) {
-  size_t length = 0;
+/** Text of a message, and where it lies in the whole body. */
+struct Text {
+  std::string bytes;
   size_t offset = 0;
   size_t total = 0;
+};
+
+Text LocatedTextOf(const coap_pdu_t* pdu) {
+  Text text;
+  size_t length = 0;
   const uint8_t* data = nullptr;
-  if (coap_get_data_large(pdu, &length, &data, &offset, &total) == 0) return "";
-  return {reinterpret_cast<const char*>(data), length};
+  if (coap_get_data_large(pdu, &length, &data, &text.offset, &text.total) !=
+      0) {
+    text.bytes.assign(reinterpret_cast<const char*>(data), length);
+  }
+  return text;
 }
 
+std::string TextOf(const coap_pdu_t* pdu) { return LocatedTextOf(pdu).bytes; }
+
 std::string TokenOf(const coap_pdu_t* pdu) {
   const coap_bin_const_t token = coap_pdu_get_token(pdu);
   return {reinterpret_cast<const char*>(token.s), token.length};
@@ -107,7 +120,7 @@
   ++report_.requests;
   busy_ = true;
   challenges_ = 0;
-  request_ = {kind, id, large_bytes, now, ""};
+  request_ = {kind, id, large_bytes, now, "", 0};
   SendRequest("");
 }
 
@@ -167,9 +180,41 @@
     SendRequest(echo);
     return;
   }
+  const Text text = LocatedTextOf(received);
+  if (text.bytes.size() < text.total && request_.pieces < kMaxPieces) {
+    OnPiece(received);
+    return;
+  }
   EndRequest(now, received);
 }
 
+void Caller::OnPiece(const coap_pdu_t* received) {
+  const Text text = LocatedTextOf(received);
+  ++report_.pieces;
+  ++request_.pieces;
+  if (!IsOurPiece(text.bytes, text.offset)) {
+    ++report_.wrong_answers;
+    fprintf(stderr, "load: request %lld of %s got a block of another: %s\n",
+            static_cast<long long>(request_.id),  // NOLINT
+            options_.service.c_str(), text.bytes.c_str());
+  }
+  SendRequest("");
+}
+
+bool Caller::IsOurPiece(const std::string& piece, size_t offset) const {
+  const std::string id = std::to_string(request_.id);
+  std::string numbers = piece;
+  if (offset == 0) {
+    if (Field(piece, "id") != id ||
+        Field(piece, "service") != options_.service) {
+      return false;
+    }
+    numbers = piece.substr(piece.find('\n') + 1);
+  }
+  numbers = numbers.substr(0, numbers.find("end="));
+  return LargeBody(id, request_.bytes).find(numbers) != std::string::npos;
+}
+
 void Caller::OnFeedResponse(TimePoint now, const coap_pdu_t* received) {
   const auto code = coap_pdu_get_code(received);
   if (code != COAP_RESPONSE_CODE_CONTENT ||
@@ -249,21 +294,9 @@
   }
   if (!IsWholeAnswer(body)) {
     ++report_.incomplete;
-    constexpr size_t kShown = 60;
-    size_t length = 0;
-    size_t offset = 0;
-    size_t total = 0;
-    const uint8_t* data = nullptr;
-    coap_get_data_large(received, &length, &data, &offset, &total);
-    fprintf(stderr,
-            "load: request %lld of %s is not whole: kind=%d asked=%zu "
-            "latency_ms=%.0f bytes=%zu offset=%zu total=%zu begin=[%s] "
-            "end=[%s]\n",
+    fprintf(stderr, "load: request %lld of %s is not whole, %zu bytes: %s\n",
             static_cast<long long>(request_.id),  // NOLINT
-            options_.service.c_str(), static_cast<int>(request_.kind),
-            request_.bytes, latency, length, offset, total,
-            body.substr(0, kShown).c_str(),
-            body.substr(body.size() - std::min(body.size(), kShown)).c_str());
+            options_.service.c_str(), body.size(), body.c_str());
   }
 }
 
--- a/tools/load/caller.h
+++ b/tools/load/caller.h
@@ -54,6 +54,7 @@
     size_t bytes = 0;
     TimePoint started;
     std::string token;
+    int pieces = 0;
   };
 
   std::string Send(const std::string& token, coap_pdu_code_t code,
@@ -62,6 +63,14 @@
   void SendRequest(const std::string& echo);
   void OnFeedResponse(TimePoint now, const coap_pdu_t* received);
   bool IsNewer(TimePoint now, const std::string& observe);
+  /**
+   * A single block of a large answer. libcoap hands one over and gives up the
+   * transfer if a repeated block arrives in its middle, which a network may
+   * do at any time; the answer is asked for again.
+   */
+  void OnPiece(const coap_pdu_t* received);
+  /** Whether the block is one of this request's answer. */
+  bool IsOurPiece(const std::string& piece, size_t offset) const;
   void EndRequest(TimePoint now, const coap_pdu_t* received);
   bool IsWholeAnswer(const std::string& body) const;
   void MarkBroken(const std::string& reason);
--- a/tools/load/report.cc
+++ b/tools/load/report.cc
@@ -29,7 +29,13 @@
 
 void Report::Settle() {
   for (const auto& [id, count] : runs) {
-    if (count > 1) ++duplicate_runs;
+    if (count <= 1) continue;
+    ++duplicate_runs;
+    const auto order = orders.find(id);
+    fprintf(stderr, "load: order %lld ran %lld times, its caller was told %d\n",
+            static_cast<long long>(id),     // NOLINT
+            static_cast<long long>(count),  // NOLINT
+            order == orders.end() ? -1 : static_cast<int>(order->second));
   }
   for (const auto& [id, end] : orders) {
     const bool ran = runs.count(id) != 0;
@@ -78,7 +84,7 @@
        << ",\"errors\":" << errors << ",\"unanswered\":" << unanswered
        << ",\"skipped\":" << skipped << ",\"wrong_answers\":" << wrong_answers
        << ",\"wrong_service\":" << wrong_service
-       << ",\"incomplete\":" << incomplete
+       << ",\"incomplete\":" << incomplete << ",\"pieces\":" << pieces
        << ",\"notifications\":" << notifications
        << ",\"feed_regressions\":" << feed_regressions
        << ",\"feed_restarts\":" << feed_restarts
--- a/tools/load/report.h
+++ b/tools/load/report.h
@@ -35,6 +35,7 @@
   int64_t wrong_answers = 0;  // Of another request.
   int64_t wrong_service = 0;
   int64_t incomplete = 0;
+  int64_t pieces = 0;  // Blocks that the CoAP library handed over alone.
   int64_t notifications = 0;
   int64_t feed_regressions = 0;  // An older version after a newer one.
   int64_t feed_restarts = 0;
