What waited while a process was paused is dropped in any order of events

JustPaused looked only at the time since the last tick, so the callers' copies that had waited passed for new ones.

Change: for 250 ms after the first tick that follows a pause, callers' datagrams count as old. The agent fixture ticks twice a second now when time passes, as a running process does.

Ruled out: a lent request run twice (one job a nonce in the trace), a handover (the flow's owner held the key of B by grant, as it should).

--- a/packages/agent/tests/agent_test.cc
+++ b/packages/agent/tests/agent_test.cc
@@ -109,7 +109,14 @@
     agent_.OnTargetAnswer(now_, id, std::move(answer), out);
     Take(out);
   }
+  /** Runs for that long; a process that runs ticks more than once a second. */
   void Tick(Duration later) {
+    constexpr Duration kStep = milliseconds(500);
+    for (; later > kStep; later -= kStep) Pause(kStep);
+    Pause(later);
+  }
+  /** Does nothing for that long, then ticks. */
+  void Pause(Duration later) {
     now_ += later;
     Outbox out;
     agent_.OnTick(now_, out);
@@ -397,6 +404,18 @@
   CHECK(fixture.TakeCalls().size() == 1);
 }
 
+TEST_CASE("A repeated message that waited while paused is not answered") {
+  AgentFixture fixture;
+  fixture.Tick(milliseconds(10));
+  // The balancers' copies are read after the first tick that follows.
+  fixture.Pause(seconds(3));
+  fixture.Deliver(MakeRequest(coap::Code::kPost, 7));
+  CHECK(fixture.TakeAnswers().empty());
+  fixture.Tick(ControlPlane::kBacklogTime + milliseconds(10));
+  fixture.Deliver(MakeRequest(coap::Code::kPost, 8));
+  CHECK(fixture.TakeAnswer().code == coap::Code::kUnauthorized);
+}
+
 TEST_CASE("A large answer travels in blocks and runs once") {
   AgentFixture fixture;
   const std::string body(3000, 'b');
--- a/packages/balancer/tests/balancer_test.cc
+++ b/packages/balancer/tests/balancer_test.cc
@@ -166,6 +166,28 @@
   CHECK(fixture.balancer().counters().unknown_service == 1);
 }
 
+TEST_CASE("What waited while a balancer was paused is dropped in any order") {
+  BalancerFixture fixture;
+  constexpr auto kTick = std::chrono::milliseconds(10);
+  const auto tick = [&fixture](TimePoint now) {
+    Outbox out;
+    fixture.balancer().OnTick(now, out);
+  };
+  tick(kStart);
+  CHECK(fixture.Send(kStart + kTick, 1).size() == 1);
+  const TimePoint resumed = kStart + std::chrono::seconds(3);
+  // Some of the datagrams are read before the first tick, some after it.
+  CHECK(fixture.Send(resumed, 1).empty());
+  tick(resumed);
+  CHECK(fixture.Send(resumed, 2).empty());
+  tick(resumed + kTick);
+  CHECK(fixture.Send(resumed + kTick, 3).empty());
+  const TimePoint read = resumed + ControlPlane::kBacklogTime + kTick;
+  tick(read);
+  CHECK(fixture.Send(read, 4).size() == 1);
+  CHECK(fixture.balancer().counters().dropped_stale == 3);
+}
+
 TEST_CASE("A silent home is passed over before gossip finds it dead") {
   BalancerFixture fixture;
   const Endpoint home = fixture.Send(kStart, 1)[0].first;
--- a/packages/node/include/node/control_plane.h
+++ b/packages/node/include/node/control_plane.h
@@ -37,8 +37,14 @@
   void OnPeerRevision(TimePoint now, const Endpoint& peer, Revision revision,
                       Outbox& out);
   /**
-   * Whether this process was paused and has not run a tick since. Callers'
-   * datagrams that waited meanwhile are old: they have been repeated, and old
+   * After the first tick that follows a pause, datagrams that waited in the
+   * sockets are read for so long; an event loop may run timers first.
+   */
+  static constexpr Duration kBacklogTime = std::chrono::milliseconds(250);
+
+  /**
+   * Whether this process was paused and may not have read yet what waited for
+   * it. Callers' datagrams among that are old: they have been repeated, and old
    * ones could be answered in the middle of later exchanges.
    */
   bool JustPaused(TimePoint now) const;
@@ -101,6 +107,7 @@
   bool configuration_changed_ = false;
   bool stopping_ = false;
   TimePoint last_tick_{};
+  TimePoint backlog_until_{};
   // What members last said of their revision.
   std::unordered_map<MemberId, Revision> revisions_;
   // Present balancers that are not draining.
