Targets that fail requests with good health are set aside

What passes shows it without a byte of an answer being read: errors come after 1.7 ms in packets of 183 bytes, where this route's answers come after 18 ms in packets of 810.

Change: AnswerJudge, in the agent, compares the first packet of each answer with what is usual on its route, in time and size together, and counts flows that the target broke off; while the target is full its answers count for nothing. Half of the last requests failed: the agent tells its balancers, which set the target aside for new flows, but try it once a second each with a flow whose requests may be repeated. Never more than a third of a service's targets are set aside. The log says target-failing and target-serving; gauge target_failing.

Not seen: a target that failed from its start, and one whose errors look like its answers.

Ruled out: the mean response time of a target as the sign (a grey target that fails two fifths of its requests would keep three fifths of it).

--- a/packages/schema/gen/steering_types.cpp
+++ b/packages/schema/gen/steering_types.cpp
@@ -585,6 +585,11 @@
 void AgentReport::__set_unsure(const std::vector< ::sesamesaddle::schema::FlowKey> & val) {
   this->unsure = val;
 }
+
+void AgentReport::__set_failing(const bool val) {
+  this->failing = val;
+__isset.failing = true;
+}
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj)
 {
   obj.printTo(out);
@@ -798,6 +803,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->failing);
+          this->__isset.failing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -937,6 +950,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.failing) {
+    xfer += oprot->writeFieldBegin("failing", ::apache::thrift::protocol::T_BOOL, 16);
+    xfer += oprot->writeBool(this->failing);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -959,6 +977,8 @@
   swap(a.silent, b.silent);
   swap(a.queued, b.queued);
   swap(a.unsure, b.unsure);
+  swap(a.failing, b.failing);
+  swap(a.__isset, b.__isset);
 }
 
 AgentReport::AgentReport(const AgentReport& other34) {
@@ -977,6 +997,8 @@
   silent = other34.silent;
   queued = other34.queued;
   unsure = other34.unsure;
+  failing = other34.failing;
+  __isset = other34.__isset;
 }
 AgentReport::AgentReport(AgentReport&& other35) noexcept {
   agent = other35.agent;
@@ -994,6 +1016,8 @@
   silent = other35.silent;
   queued = other35.queued;
   unsure = std::move(other35.unsure);
+  failing = other35.failing;
+  __isset = other35.__isset;
 }
 AgentReport& AgentReport::operator=(const AgentReport& other36) {
   agent = other36.agent;
@@ -1011,6 +1035,8 @@
   silent = other36.silent;
   queued = other36.queued;
   unsure = other36.unsure;
+  failing = other36.failing;
+  __isset = other36.__isset;
   return *this;
 }
 AgentReport& AgentReport::operator=(AgentReport&& other37) noexcept {
@@ -1029,6 +1055,8 @@
   silent = other37.silent;
   queued = other37.queued;
   unsure = std::move(other37.unsure);
+  failing = other37.failing;
+  __isset = other37.__isset;
   return *this;
 }
 void AgentReport::printTo(std::ostream& out) const {
@@ -1049,6 +1077,7 @@
   out << ", " << "silent=" << to_string(silent);
   out << ", " << "queued=" << to_string(queued);
   out << ", " << "unsure=" << to_string(unsure);
+  out << ", " << "failing="; (__isset.failing ? (out << to_string(failing)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/schema/gen/steering_types.h
+++ b/packages/schema/gen/steering_types.h
@@ -203,6 +203,10 @@
 
 std::ostream& operator<<(std::ostream& out, const BalancerRecord& obj);
 
+typedef struct _AgentReport__isset {
+  _AgentReport__isset() : failing(true) {}
+  bool failing :1;
+} _AgentReport__isset;
 
 class AgentReport : public virtual ::apache::thrift::TBase {
  public:
@@ -222,7 +226,8 @@
                 response_us(0),
                 restarting(0),
                 silent(0),
-                queued(0) {
+                queued(0),
+                failing(false) {
   }
 
   virtual ~AgentReport() noexcept;
@@ -245,6 +250,9 @@
   bool silent;
   int32_t queued;
   std::vector< ::sesamesaddle::schema::FlowKey>  unsure;
+  bool failing;
+
+  _AgentReport__isset __isset;
 
   void __set_agent(const  ::sesamesaddle::schema::PackedEndpoint val);
 
@@ -276,6 +284,8 @@
 
   void __set_unsure(const std::vector< ::sesamesaddle::schema::FlowKey> & val);
 
+  void __set_failing(const bool val);
+
   bool operator == (const AgentReport & rhs) const
   {
     if (!(agent == rhs.agent))
@@ -308,6 +318,10 @@
       return false;
     if (!(unsure == rhs.unsure))
       return false;
+    if (__isset.failing != rhs.__isset.failing)
+      return false;
+    else if (__isset.failing && !(failing == rhs.failing))
+      return false;
     return true;
   }
   bool operator != (const AgentReport &rhs) const {
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -63,6 +63,8 @@
   14: required i32 queued
   // Flows of queries that only the target can tell: the agent is younger.
   15: required list<messages.FlowKey> unsure
+  // The target fails requests, by what passes of its answers.
+  16: optional bool failing = false
 }
 
 // From a balancer that looks for the targets of flows; answered by a report.
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -12,6 +12,7 @@
 #include "core/endpoint.h"
 #include "core/event_log.h"
 #include "core/time.h"
+#include "steering/answer_judge.h"
 #include "steering/handshake_time.h"
 #include "steering/packet.h"
 #include "steering/syn_queue.h"
@@ -60,6 +61,8 @@
   int64_t resets = 0;
   int64_t malformed = 0;
   int64_t reports = 0;
+  /** Times at which the target began to fail requests. */
+  int64_t failing = 0;
 };
 
 /** Observes durations for the metrics. */
@@ -120,6 +123,8 @@
   const FlowAgentCounters& counters() const { return counters_; }
   size_t flow_count() const { return flows_.size(); }
   int waiting() const { return waiting_; }
+  /** Whether the target fails requests although it says that it is well. */
+  bool failing() const { return failing_; }
   /** Whether a balancer is owed a report. */
   bool busy() const { return !balancers_.empty(); }
   /** Whether a report should not wait for the period to end. */
@@ -185,7 +190,12 @@
   void ResetAll(std::string_view reason);
   void NoteClientPacket(TimePoint now, const PacketHead& head,
                         FlowEntry& entry);
-  void NoteAnswer(TimePoint now, FlowEntry& entry);
+  void NoteAnswer(TimePoint now, const Flow& flow, FlowEntry& entry,
+                  size_t bytes);
+  /** The target reset the flow. */
+  void NoteBreak(const FlowEntry& entry);
+  /** Tells balancers if the target has begun, or ceased, to fail requests. */
+  void NoteJudgement();
   void StopWaiting(FlowEntry& entry);
   void Expect(TimePoint now, const Flow& flow, FlowEntry& entry);
   void StopExpecting(FlowEntry& entry);
@@ -217,6 +227,9 @@
   int waiting_ = 0;
   int expected_ = 0;
   HandshakeTime handshakes_;
+  AnswerJudge answers_;
+  /** What balancers were told of the target's answers. */
+  bool failing_ = false;
   /** Flows that were counted as expected, oldest first. */
   std::deque<std::pair<TimePoint, Flow>> expectations_;
   Duration response_{};
--- a/packages/steering/include/steering/placement.h
+++ b/packages/steering/include/steering/placement.h
@@ -16,6 +16,8 @@
   Flow flow;
   /** Agents that refused this flow or did not answer for it. */
   std::vector<Endpoint> excluded;
+  /** Its requests may run once at most, so they are not for trying targets. */
+  bool runs_once = false;
 };
 
 /** Chooses the target of a new flow. */
@@ -51,6 +53,15 @@
                     const std::vector<AgentView*>& agents) override;
 
  private:
+  /**
+   * Whether targets of the service fail requests, and they are few enough: if
+   * they are more than a third, the fault may be elsewhere, and the rest could
+   * not carry the load.
+   */
+  static bool MayBeSetAside(const std::vector<AgentView*>& agents);
+  /** Takes out targets that fail requests, but for a trial now and then. */
+  static void SetFailingAside(TimePoint now, const PlacementRequest& request,
+                              std::vector<AgentView*>& usable);
   AgentView* Cheapest(TimePoint now, const PlacementRequest& request,
                       const std::vector<AgentView*>& agents) const;
   double Cost(TimePoint now, const AgentView& view, double usual_ms) const;
--- a/packages/steering/include/steering/target_directory.h
+++ b/packages/steering/include/steering/target_directory.h
@@ -35,6 +35,10 @@
   TimePoint last_report{};
   bool reported = false;
   bool restarting = false;
+  /** The target fails requests; its agent saw it from the answers. */
+  bool failing = false;
+  /** A failing target may be tried with one flow after this time. */
+  TimePoint next_trial{};
   /** A SYN was refused; the agent is asked again after this time. */
   TimePoint refuses_until{};
   /** The first packet sent since the last report, if any was. */
@@ -66,6 +70,8 @@
 
   /** A silent agent that was sent nothing for so long is tried again. */
   static constexpr Duration kSilencePause = std::chrono::milliseconds(1000);
+  /** Time between the flows with which a failing target is tried. */
+  static constexpr Duration kTrialPeriod = std::chrono::milliseconds(1000);
   /** An agent that said that it restarts is tried again after this time. */
   static constexpr Duration kRestartLimit = std::chrono::milliseconds(3000);
   /** A target that answers nothing is asked again after this time. */
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -259,9 +259,10 @@
     }
   }
   if (head->payload_bytes > 0) {
-    NoteAnswer(now, entry);
+    NoteAnswer(now, flow, entry, head->payload_bytes);
     ServeQueue(now);
   }
+  if (head->reset) NoteBreak(entry);
   entry.target_ended = entry.target_ended || head->fin;
   if (head->reset || (entry.target_ended && entry.client_ended)) {
     StopWaiting(entry);
@@ -357,6 +358,10 @@
     TimePoint now, const TargetAnnouncement& announcement) {
   const AnnouncementEffect effect = health_.OnAnnouncement(now, announcement);
   constexpr int64_t kFirstSequence = 1;
+  if (effect == AnnouncementEffect::kOtherTarget) {
+    answers_.OnOtherTarget();
+    NoteJudgement();
+  }
   if (effect != AnnouncementEffect::kStale &&
       announcement.sequence == kFirstSequence) {
     // Packets reach a target through this process only, and it was there when
@@ -377,14 +382,47 @@
   return true;
 }
 
-void FlowAgent::NoteAnswer(TimePoint now, FlowEntry& entry) {
+void FlowAgent::NoteAnswer(TimePoint now, const Flow& flow, FlowEntry& entry,
+                           size_t bytes) {
   if (!entry.waiting) return;
   const Duration took = now - entry.waiting_since;
   response_times_.Observe(took);
   response_ = response_ == Duration::zero()
                   ? took
                   : response_ + (took - response_) / kResponseShare;
+  // A target that is full rejects requests, which is no fault of its own.
+  const bool full =
+      !SynQueue::HasRoom(waiting_ - 1, health_.announcement().slots);
   StopWaiting(entry);
+  if (full) return;
+  answers_.OnAnswer(flow.service, took, bytes);
+  NoteJudgement();
+}
+
+void FlowAgent::NoteBreak(const FlowEntry& entry) {
+  // What comes after the end of a flow is answered by a reset, too.
+  if (!entry.waiting || entry.target_ended || health_.announcement().draining) {
+    return;
+  }
+  answers_.OnBrokenOff();
+  NoteJudgement();
+}
+
+void FlowAgent::NoteJudgement() {
+  if (failing_ == answers_.failing()) return;
+  failing_ = answers_.failing();
+  if (failing_) ++counters_.failing;
+  LogLine(log_, EventKind::kBelief, kPart,
+          failing_ ? "target-failing" : "target-serving")
+      .Add("target", health_.announcement().id)
+      .Add("service", service())
+      .Add("failed_percent", static_cast<int>(100 * answers_.failed_share()))
+      .Add("waiting", waiting_);
+  for (auto& [endpoint, view] : balancers_) {
+    view.packets_since_report = true;
+    view.urgent = true;
+  }
+  urgent_ = true;
 }
 
 void FlowAgent::StopWaiting(FlowEntry& entry) {
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -119,6 +119,7 @@
   report.held = TakeKeys(view.held, kMaxFlowsPerReport);
   report.not_held = TakeKeys(view.not_held, kMaxFlowsPerReport);
   report.unsure = TakeKeys(view.unsure, kMaxFlowsPerReport);
+  report.__set_failing(failing_);
   report.restarting = stopping_ && !health_.gone();
   view.packets_since_report = false;
   view.urgent = false;
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -86,7 +86,8 @@
 bool FlowBalancer::Place(TimePoint now, const Flow& flow, const Route& route,
                          Placing& placing) {
   placing.retry_at = now + kAcceptTime;
-  PlacementRequest request{flow, placing.refused};
+  PlacementRequest request{flow, placing.refused,
+                           route.kind == RequestKind::kRunsOnce};
   const auto known = flows_.find(flow);
   size_t tries = 0;
   if (known != flows_.end()) {
--- a/packages/steering/src/placement.cc
+++ b/packages/steering/src/placement.cc
@@ -12,6 +12,8 @@
 // Queued work per slot that outweighs staying in the zone; a hop between zones
 // takes well under a millisecond, a place in a queue tens of them.
 constexpr double kOtherZoneCost = 0.34;
+// Of so many targets one at most is set aside.
+constexpr size_t kLeastServing = 3;
 // A target this much above its slots gives way to any other of the service.
 constexpr double kOverloadedCost = 1.0;
 // Responses are compared with the service's usual time within these bounds.
@@ -108,11 +110,36 @@
     if (Contains(request.excluded, view->agent)) continue;
     if (directory_.Usable(now, *view)) usable.push_back(view);
   }
+  if (MayBeSetAside(agents)) SetFailingAside(now, request, usable);
   AgentView* best =
       Cheapest(now, request, FlowCandidates(request.flow, zone_, usable));
   if (best == nullptr) return nullptr;
-  if (Cost(now, *best, UsualResponseMs(usable)) <= kOverloadedCost) return best;
-  return Cheapest(now, request, usable);
+  if (Cost(now, *best, UsualResponseMs(usable)) > kOverloadedCost) {
+    best = Cheapest(now, request, usable);
+  }
+  if (best->failing) best->next_trial = now + TargetDirectory::kTrialPeriod;
+  return best;
+}
+
+bool LeastWaitPlacement::MayBeSetAside(const std::vector<AgentView*>& agents) {
+  size_t failing = 0;
+  size_t ready = 0;
+  for (const AgentView* view : agents) {
+    if (view->record.state != schema::TargetState::kReady) continue;
+    ++ready;
+    failing += static_cast<size_t>(view->failing);
+  }
+  return failing > 0 && failing * kLeastServing <= ready;
+}
+
+void LeastWaitPlacement::SetFailingAside(TimePoint now,
+                                         const PlacementRequest& request,
+                                         std::vector<AgentView*>& usable) {
+  const auto aside = [now, &request](const AgentView* view) {
+    return view->failing && (request.runs_once || now < view->next_trial);
+  };
+  usable.erase(std::remove_if(usable.begin(), usable.end(), aside),
+               usable.end());
 }
 
 AgentView* LeastWaitPlacement::Cheapest(
--- a/packages/steering/src/target_directory.cc
+++ b/packages/steering/src/target_directory.cc
@@ -109,6 +109,10 @@
   view->reported = true;
   view->unanswered = false;
   view->restarting = report.restarting;
+  if (report.failing && !view->failing) {
+    view->next_trial = now + kTrialPeriod;
+  }
+  view->failing = report.failing;
   if (report.silent) view->refuses_until = now + kSilentTargetPause;
   if (report.slots > 0) view->record.slots = report.slots;
   // An agent knows its target's state before the store does.
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "steering/admission.h"
+#include "steering/answer_judge.h"
 #include "steering/handshake_time.h"
 #include "steering/placement.h"
 #include "steering/syn_queue.h"
@@ -842,5 +843,102 @@
   CHECK(answered > 0.9 * kCapacity);
 }
 
+// --- Targets that fail requests ---------------------------------------------
+
+TEST_CASE("Answers that come sooner and shorter than usual are failures") {
+  const Endpoint route(1, 443);
+  AnswerJudge judge;
+  for (int i = 0; i < 50; ++i) {
+    judge.OnAnswer(route, milliseconds(14 + i % 8), 810);
+  }
+  CHECK(judge.failed_share() == 0);
+  SECTION("one by one they prove nothing") {
+    judge.OnAnswer(route, milliseconds(2), 180);
+    CHECK_FALSE(judge.failing());
+  }
+  SECTION("short answers that took their time, or quick whole ones, are none") {
+    for (int i = 0; i < 20; ++i) judge.OnAnswer(route, milliseconds(15), 180);
+    for (int i = 0; i < 20; ++i) judge.OnAnswer(route, milliseconds(2), 810);
+    CHECK_FALSE(judge.failing());
+  }
+  SECTION("several in a row make a failing target, and good ones mend it") {
+    for (int i = 0; i < 8; ++i) judge.OnAnswer(route, milliseconds(2), 180);
+    CHECK(judge.failing());
+    for (int i = 0; i < 4; ++i) judge.OnAnswer(route, milliseconds(16), 810);
+    CHECK(judge.failing());
+    for (int i = 0; i < 12; ++i) judge.OnAnswer(route, milliseconds(16), 810);
+    CHECK_FALSE(judge.failing());
+  }
+  SECTION("broken flows count as well") {
+    for (int i = 0; i < 8; ++i) judge.OnBrokenOff();
+    CHECK(judge.failing());
+    judge.OnOtherTarget();
+    CHECK_FALSE(judge.failing());
+  }
+  SECTION("another route is judged by its own answers") {
+    const Endpoint quick(2, 443);
+    for (int i = 0; i < 50; ++i) judge.OnAnswer(quick, milliseconds(1), 90);
+    CHECK_FALSE(judge.failing());
+  }
+  SECTION("what stays so is what is usual") {
+    for (int i = 0; i < AnswerJudge::kRelearned + 100; ++i) {
+      judge.OnAnswer(route, milliseconds(2), 180);
+    }
+    CHECK_FALSE(judge.failing());
+  }
+}
+
+TEST_CASE("A failing target is tried only with requests that may be repeated") {
+  TargetDirectory directory;
+  for (uint32_t i = 1; i <= 4; ++i) {
+    directory.Put(kNow, std::to_string(i), MakeRecord(i), i);
+    directory.OnReport(kNow, MakeReport(i));
+  }
+  schema::AgentReport report = MakeReport(1);
+  report.__set_failing(true);
+  directory.OnReport(kNow, report);
+  LeastWaitPlacement placement("z", directory);
+  const auto times_chosen = [&](TimePoint now, bool runs_once) {
+    int times = 0;
+    for (uint32_t i = 0; i < 200; ++i) {
+      PlacementRequest request{MakeFlow(i), {}, runs_once};
+      const AgentView* view =
+          placement.Choose(now, request, directory.OfService("orders"));
+      REQUIRE(view != nullptr);
+      times += view->agent == Endpoint(1, 8172);
+    }
+    return times;
+  };
+  CHECK(times_chosen(kNow, false) == 0);
+  const TimePoint later = kNow + TargetDirectory::kTrialPeriod;
+  CHECK(times_chosen(later, true) == 0);
+  CHECK(times_chosen(later, false) == 1);
+  CHECK(times_chosen(later, false) == 0);
+  // When more than a third fail, setting them aside would only move the load.
+  report.agent = MakeReport(2).agent;
+  directory.OnReport(later, report);
+  CHECK(times_chosen(later, true) > 20);
+}
+
+TEST_CASE("A target that answers errors with good health gets few requests") {
+  SteeringWorld world(4, 6, 23);
+  for (int i = 0; i < 120; ++i) world.AddClient(false);
+  CHECK(RunRounds(world, 8, milliseconds(250)) == 960);
+  VirtualTarget& target = *world.targets[0];
+  target.failing = true;
+  RunRounds(world, 20, milliseconds(250));
+  INFO("errors " << target.errors);
+  // A sixth of 2400 requests would be 400; trials are one a second a balancer.
+  CHECK(target.errors < 60);
+  for (const auto& client : world.clients) {
+    for (const auto& [id, result] : client->results) CHECK(result.answered);
+  }
+  target.failing = false;
+  RunRounds(world, 16, milliseconds(250));
+  const size_t done = target.done.size();
+  RunRounds(world, 8, milliseconds(250));
+  CHECK(target.done.size() - done > 80);
+}
+
 }  // namespace
 }  // namespace sesamesaddle
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -283,6 +283,8 @@
       {"malformed_packets_total", c.malformed},
       {"malformed_control_total", malformed_control_},
       {"reports_total", c.reports},
+      {"target_failing", agent_.failing() ? 1 : 0},
+      {"target_failing_total", c.failing},
       {"announcements_total", announcements_},
       {"announcements_refused_total", bad_announcements_},
       {"flows", static_cast<int64_t>(agent_.flow_count())},
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -323,6 +323,11 @@
   held.open = true;
   if (head->payload_bytes == 0) return;
   const std::string id = packet.substr(sizeof(PacketHead));
+  if (failing) {
+    ++errors;
+    Answer({flow, id, 0}, "!");
+    return;
+  }
   if (!ran.insert(id).second) {
     // A copy: of what runs already, or of what was answered into a loss.
     if (done.count(id) != 0) Answer({flow, id, 0}, "done " + id);
@@ -486,7 +491,7 @@
   }
   received_ += static_cast<uint32_t>(payload.size());
   if (!busy_) return;
-  if (payload == "shed " + id_) {
+  if (payload == "shed " + id_ || payload == "!") {
     Fail(false);
     return;
   }
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -36,6 +36,9 @@
   /** Each start is another incarnation. */
   int starts = 1;
   int shed = 0;
+  /** Answers errors at once, and announces itself as before. */
+  bool failing = false;
+  int errors = 0;
   std::set<std::string> ran;
   std::set<std::string> done;
   int accepted_flows = 0;
