A watch that hangs is missed within four seconds

The store was silent from 5.9 to 10.4 s. Every balancer asked again during the silence, by a watch of 5 s, and waited for that one until 15.4 to 15.7 s; three versions written from 11.7 s on were in force 3.7 s late.

Change: while the store fails, watches wait 0.2 s only; otherwise 2 s instead of 5, so that one whose connection fell silent for good is missed in time, too. Two tests failed first (registry_test: silent for 3.9 and 4.5 s; a watch that hangs).

--- a/packages/registry/include/registry/replica_follower.h
+++ b/packages/registry/include/registry/replica_follower.h
@@ -36,10 +36,13 @@
 /** Times of following the store. */
 struct FollowerTimes {
   /**
-   * A waiting watch; one that went silent is noticed after it. With the time
-   * for a call it stays under the bound on a change in force.
+   * A waiting watch; one that fell silent is missed after it. With the time for
+   * a call and a retry it stays under the four seconds after a fault in which
+   * the platform expects a process to follow again.
    */
-  Duration watch = std::chrono::seconds(5);
+  Duration watch = std::chrono::seconds(2);
+  /** The same while the store fails, so that its return is seen at once. */
+  Duration watch_after_failure = std::chrono::milliseconds(200);
   /** Changes that come close together are fetched together. */
   Duration gather = std::chrono::milliseconds(800);
   /** The same while a fleet starts and each entry is needed at once. */
--- a/packages/registry/src/replica_follower.cc
+++ b/packages/registry/src/replica_follower.cc
@@ -78,26 +78,27 @@
 }
 
 void ReplicaFollower::Watch() {
-  store_.Watch(
-      kWholeStore, directory_revision_, times_.watch, [this](auto changes) {
-        if (!changes) {
-          if (changes.error() == StoreError::kHistoryGone) {
-            list_needed_ = true;
-          }
-          OnFailure(changes.error());
-          return;
-        }
-        for (const schema::KeyValue& item : changes->items) {
-          Take(item);
-        }
-        directory_revision_ = std::max(directory_revision_, changes->revision);
-        OnAnswer();
-        if (changes->items.empty()) {
-          Watch();
-          return;
-        }
-        scheduler_.After(GatherTime(), [this] { Watch(); });
-      });
+  const Duration wait =
+      store_failed_ ? times_.watch_after_failure : times_.watch;
+  store_.Watch(kWholeStore, directory_revision_, wait, [this](auto changes) {
+    if (!changes) {
+      if (changes.error() == StoreError::kHistoryGone) {
+        list_needed_ = true;
+      }
+      OnFailure(changes.error());
+      return;
+    }
+    for (const schema::KeyValue& item : changes->items) {
+      Take(item);
+    }
+    directory_revision_ = std::max(directory_revision_, changes->revision);
+    OnAnswer();
+    if (changes->items.empty()) {
+      Watch();
+      return;
+    }
+    scheduler_.After(GatherTime(), [this] { Watch(); });
+  });
 }
 
 void ReplicaFollower::Take(const schema::KeyValue& item) {
--- a/packages/registry/tests/registry_test.cc
+++ b/packages/registry/tests/registry_test.cc
@@ -233,6 +233,34 @@
   CHECK(calls <= 5);  // 2.8 s, at most one call a gather time.
 }
 
+TEST_CASE("A change is known soon after a silent store answers again") {
+  // Whenever in a watch the silence ends, and however long it was.
+  for (const int silence_ms : {300, 1500, 3900, 4500, 7200}) {
+    Following f("v1");
+    f.follower.Start();
+    f.scheduler.RunFor(seconds(3));
+    f.store.silent = true;
+    f.scheduler.RunFor(milliseconds(silence_ms));
+    f.Configure("v2");
+    f.store.silent = false;
+    // Four seconds later the platform takes all processes to be as before.
+    f.scheduler.RunFor(seconds(4));
+    INFO("silent for " << silence_ms << " ms");
+    CHECK(f.recorder.configuration == "v2");
+    CHECK(f.follower.current());
+  }
+}
+
+TEST_CASE("A watch whose connection fell silent for good is missed in time") {
+  Following f("v1");
+  f.follower.Start();
+  f.scheduler.RunFor(milliseconds(7100));
+  f.store.SilenceWaiting();
+  f.Configure("v2");
+  f.scheduler.RunFor(seconds(4));
+  CHECK(f.recorder.configuration == "v2");
+}
+
 TEST_CASE("History that the store has forgotten is read again") {
   Following f("v1");
   f.memory.Create("dir/a", "1", kNoLease);
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -21,6 +21,10 @@
 
   /** Decides each call's fate; by default all are answered. */
   std::function<Fate()> fate = [] { return Fate::kAnswered; };
+  /** Connections stand, but nothing is answered. */
+  bool silent = false;
+  /** Watches that wait now get nothing any more; new calls do. */
+  void SilenceWaiting() { ++silenced_; }
   Duration delay = std::chrono::milliseconds(2);
   Duration timeout = std::chrono::seconds(1);
 
@@ -72,18 +76,18 @@
           delay, [done] { done(tl::unexpected(StoreError::kUnavailable)); });
       return;
     }
-    Poll(prefix, revision, scheduler_.Now() + wait, done);
+    Poll(prefix, revision, scheduler_.Now() + wait, silenced_, done);
   }
 
  private:
   template <typename T>
   void Call(std::function<tl::expected<T, StoreError>()> action, Done<T> done) {
-    switch (fate()) {
+    switch (silent ? Fate::kReplyLost : fate()) {
       case Fate::kAnswered:
         scheduler_.After(delay, [action, done] { done(action()); });
         return;
       case Fate::kReplyLost:
-        scheduler_.After(delay, [action] { action(); });
+        if (!silent) scheduler_.After(delay, [action] { action(); });
         scheduler_.After(timeout, [done] {
           done(tl::unexpected(StoreError::kOutcomeUnknown));
         });
@@ -96,7 +100,13 @@
   }
 
   void Poll(const std::string& prefix, int64_t revision, TimePoint until,
-            const Done<schema::KeyValueList>& done) {
+            int silenced, const Done<schema::KeyValueList>& done) {
+    if (silent || silenced != silenced_) {
+      scheduler_.After(until + timeout - scheduler_.Now(), [done] {
+        done(tl::unexpected(StoreError::kOutcomeUnknown));
+      });
+      return;
+    }
     if (!memory_.HasHistory(revision)) {
       done(tl::unexpected(StoreError::kHistoryGone));
       return;
@@ -107,13 +117,14 @@
       return;
     }
     scheduler_.After(std::chrono::milliseconds(20),
-                     [this, prefix, revision, until, done] {
-                       Poll(prefix, revision, until, done);
+                     [this, prefix, revision, until, silenced, done] {
+                       Poll(prefix, revision, until, silenced, done);
                      });
   }
 
   MemoryStore& memory_;
   VirtualScheduler& scheduler_;
+  int silenced_ = 0;
 };
 
 }  // namespace sesamesaddle
