Soak with targets that crash, drain, queue and start slowly, lost packets, a proxy before the store; two faults that it found

Soak: targets work in three slots with a queue of six, take three times as long for 1.5 s after a start, crash and come back as another incarnation, or drain, deregister and are replaced; five packets of a thousand are lost. Each half of the processes reaches the store through a proxy of its own (standins/proxy), which delays, resets, cuts one way, or lets connections fall silent for good. The store stand-in has rates and answers 429 beyond them. New check: no new flow at a target 3 s after its drain was acknowledged. Sizes by BALANCERS, TARGETS, CLIENTS.

Registration can be published again after a withdrawal now, and agents keep one for their life. registry_test failed first (3 sections). - A late announcement brought a target back that had deregistered, as draining. An ended incarnation stays ended now. steering_test failed first.

--- a/packages/registry/include/registry/registration.h
+++ b/packages/registry/include/registry/registration.h
@@ -40,7 +40,7 @@
   /** Wants the entry to hold this value from now on. */
   void Publish(const std::string& value);
   /**
-   * Ends the entry.
+   * Ends the entry, until it is published again.
    * @param done  called when the store has answered, or has failed to
    */
   void Withdraw(std::function<void()> done);
@@ -74,7 +74,6 @@
   bool wants_ = false;
   bool present_ = false;
   bool call_under_way_ = false;
-  bool withdrawn_ = false;
   bool store_failed_ = false;
   LeaseId lease_;
   KeyVersion version_;
--- a/packages/registry/src/registration.cc
+++ b/packages/registry/src/registration.cc
@@ -23,7 +23,7 @@
 Registration::~Registration() = default;
 
 void Registration::Publish(const std::string& value) {
-  if (withdrawn_ || (wants_ && value == wanted_)) return;
+  if (wants_ && value == wanted_) return;
   wanted_ = value;
   wants_ = true;
   Step();
@@ -35,7 +35,7 @@
 }
 
 void Registration::Step() {
-  if (!wants_ || withdrawn_ || call_under_way_) return;
+  if (!wants_ || call_under_way_) return;
   if (lease_ == kNoLease) {
     Grant();
   } else if (!present_ || written_ != wanted_) {
@@ -190,13 +190,18 @@
 }
 
 void Registration::Withdraw(std::function<void()> done) {
-  if (withdrawn_) return;
-  withdrawn_ = true;
-  if (lease_ == kNoLease) {
+  wants_ = false;
+  // Calls under way belong to the entry that ends.
+  life_ = std::make_shared<Life>();
+  call_under_way_ = false;
+  present_ = false;
+  version_ = KeyVersion();
+  const LeaseId ending = std::exchange(lease_, kNoLease);
+  if (ending == kNoLease) {
     done();
     return;
   }
-  store_.EndLease(lease_, [done = std::move(done)](auto) { done(); });
+  store_.EndLease(ending, [done = std::move(done)](auto) { done(); });
 }
 
 }  // namespace sesamesaddle
--- a/packages/registry/tests/registry_test.cc
+++ b/packages/registry/tests/registry_test.cc
@@ -75,6 +75,33 @@
   CHECK(f.Value().empty());
 }
 
+TEST_CASE("A withdrawn entry may be published again") {
+  Fixture f;
+  auto registration = f.Register(f.store);
+  registration->Publish("one");
+  f.scheduler.RunFor(seconds(1));
+  SECTION("at once") {
+    registration->Withdraw([] {});
+    registration->Publish("two");
+  }
+  SECTION("while a write is under way") {
+    registration->Publish("late");
+    registration->Withdraw([] {});
+    registration->Publish("two");
+  }
+  SECTION("later") {
+    registration->Withdraw([] {});
+    f.scheduler.RunFor(seconds(1));
+    CHECK(f.Value().empty());
+    registration->Publish("two");
+  }
+  f.scheduler.RunFor(seconds(2));
+  CHECK(f.Value() == "two");
+  CHECK(registration->published());
+  f.scheduler.RunFor(seconds(20));
+  CHECK(f.Value() == "two");
+}
+
 TEST_CASE("A lapsed entry is back within two seconds of the store's return") {
   Fixture f;
   auto registration = f.Register(f.store);
--- a/packages/steering/src/target_health.cc
+++ b/packages/steering/src/target_health.cc
@@ -6,7 +6,8 @@
     TimePoint now, const TargetAnnouncement& announcement) {
   const bool same = known() && announcement.id == announcement_.id &&
                     announcement.born_ms == announcement_.born_ms;
-  if (same && announcement.sequence <= announcement_.sequence) {
+  // A target that has ended does not come back; an announcement may be late.
+  if (same && (gone() || announcement.sequence <= announcement_.sequence)) {
     return AnnouncementEffect::kStale;
   }
   if (!same && known() && announcement.born_ms < announcement_.born_ms) {
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -227,6 +227,27 @@
         Effect::kOtherTarget);
 }
 
+TEST_CASE("A late announcement does not bring back a target that has ended") {
+  TargetHealth health;
+  TargetAnnouncement announcement;
+  announcement.id = "t";
+  announcement.born_ms = 1000;
+  announcement.sequence = 1;
+  health.OnAnnouncement(kNow, announcement);
+  REQUIRE(health.OnDeregister("t"));
+  announcement.sequence = 2;
+  announcement.draining = true;
+  CHECK(health.OnAnnouncement(kNow, announcement) ==
+        AnnouncementEffect::kStale);
+  CHECK(health.gone());
+  announcement.born_ms = 2000;
+  announcement.sequence = 1;
+  announcement.draining = false;
+  CHECK(health.OnAnnouncement(kNow, announcement) ==
+        AnnouncementEffect::kOtherTarget);
+  CHECK(health.TakesFlows(kNow));
+}
+
 TEST_CASE("A target takes flows only when it is known, ready and answering") {
   TargetHealth health;
   CHECK_FALSE(health.TakesFlows(kNow));
--- a/packages/steering_daemon/include/steering_daemon/agent_process.h
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -66,7 +66,6 @@
   bool report_timer_set_ = false;
   TimePoint report_due_{};
   bool stopping_ = false;
-  bool withdrawn_ = false;
   TimePoint stop_began_{};
   int64_t announcements_ = 0;
   int64_t bad_announcements_ = 0;
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -75,7 +75,6 @@
   bool fast_timer_set_ = false;
   bool configured_ = false;
   bool stopping_ = false;
-  bool withdrawn_ = false;
   TimePoint stop_began_{};
   TimePoint last_client_packet_{};
   int64_t malformed_control_ = 0;
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -154,8 +154,7 @@
   if (!present) return;
   Flush();
   if (registration_ == nullptr) return;
-  withdrawn_ = false;
-  registration_->Withdraw([this] { withdrawn_ = true; });
+  registration_->Withdraw([] {});
 }
 
 void AgentProcess::OnBadAnnouncement(const std::string& reason) {
@@ -180,7 +179,7 @@
 }
 
 void AgentProcess::PublishTarget() {
-  if (registration_ == nullptr || agent_.health().gone()) {
+  if (registration_ == nullptr) {
     registration_ = std::make_unique<Registration>(
         parts_.store, parts_.scheduler, parts_.random, parts_.log,
         TimesOfEntry(settings_), DirectoryKeys::OfTarget(settings_.packets));
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -287,7 +287,7 @@
   stop_began_ = parts_.loop.Now();
   LogLine(parts_.log, EventKind::kProcess, kPart, "stop-begins")
       .Add("flows", balancer_.flow_count());
-  registration_.Withdraw([this] { withdrawn_ = true; });
+  registration_.Withdraw([] {});
 }
 
 void BalancerProcess::AdvanceStop() {
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -27,6 +27,7 @@
 constexpr int kNotFound = 404;
 constexpr int kHistoryGone = 410;
 constexpr int kPrecondition = 412;
+constexpr int kTooManyRequests = 429;
 
 HttpResponse JsonResponse(int status, const Json& body) {
   HttpResponse response;
@@ -51,9 +52,16 @@
   return list;
 }
 
+/** Calls a second that the service serves; others get 429. */
+struct Rates {
+  int writes = 400;
+  int reads = 2000;
+};
+
 class PlatformStandIn {
  public:
-  PlatformStandIn(EventLoop& loop, const Endpoint& listen) : loop_(loop) {
+  PlatformStandIn(EventLoop& loop, const Endpoint& listen, Rates rates)
+      : loop_(loop), rates_(rates) {
     auto server =
         HttpServer::Open(loop, listen,
                          [this](const HttpRequest& request,
@@ -93,6 +101,10 @@
       return;
     }
     ++calls_;
+    if (!WithinRates(request)) {
+      responder->Send(JsonResponse(kTooManyRequests, Json::object()));
+      return;
+    }
     switch (mode_) {
       case Mode::kDown:
         held_.push_back(std::move(responder));  // Never answered.
@@ -111,6 +123,25 @@
     }
   }
 
+  /** Renewals cost a tenth of a read. */
+  bool WithinRates(const HttpRequest& request) {
+    constexpr Duration kSecond = std::chrono::seconds(1);
+    const TimePoint now = loop_.Now();
+    if (now - second_began_ >= kSecond) {
+      second_began_ = now;
+      writes_ = 0;
+      reads_ = 0;
+    }
+    if (request.path.rfind("/v1/kv-keep/", 0) == 0) {
+      reads_ += 0.1;
+    } else if (request.method == "GET") {
+      reads_ += 1;
+    } else {
+      writes_ += 1;
+    }
+    return writes_ <= rates_.writes && reads_ <= rates_.reads;
+  }
+
   void Control(const HttpRequest& request) {
     const std::string mode = QueryValue(request.query, "mode");
     const std::string ms = QueryValue(request.query, "ms");
@@ -234,6 +265,10 @@
   }
 
   EventLoop& loop_;
+  Rates rates_;
+  TimePoint second_began_{};
+  double writes_ = 0;
+  double reads_ = 0;
   MemoryStore store_;
   std::unique_ptr<HttpServer> server_;
   EventLoop::Timer timer_;
@@ -251,13 +286,16 @@
   std::string listen = "127.0.0.1:7100";
   CLI::App app("Stand-in for the platform's key-value service.");
   app.add_option("--listen", listen, "ADDRESS:PORT")->capture_default_str();
+  sesamesaddle::Rates rates;
+  app.add_option("--writes-per-second", rates.writes)->capture_default_str();
+  app.add_option("--reads-per-second", rates.reads)->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   signal(SIGPIPE, SIG_IGN);
   const auto endpoint = sesamesaddle::Endpoint::Parse(listen);
   if (!endpoint) return 2;
   const sesamesaddle::SteadyClock clock;
   sesamesaddle::EventLoop loop(clock);
-  const sesamesaddle::PlatformStandIn platform(loop, *endpoint);
+  const sesamesaddle::PlatformStandIn platform(loop, *endpoint, rates);
   loop.Run();
   return 0;
 }
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -19,6 +19,9 @@
   app.add_option("--seed", options.seed);
   app.add_option("--base-port", options.base_port);
   app.add_option("--store", options.store);
+  app.add_option("--lost-packets", options.lost_packets, "Of a thousand");
+  app.add_flag("--crashes,!--no-crashes", options.crashes);
+  app.add_flag("--drains,!--no-drains", options.drains);
   app.add_flag("--planned", planned, "Faults are planned: no flow may break");
   CLI11_PARSE(app, argc, argv);
   signal(SIGPIPE, SIG_IGN);
@@ -29,14 +32,18 @@
   const bool held = seen.duplicate_runs == 0 && seen.wrong_service == 0 &&
                     seen.wrong_answers == 0 && seen.changed_packets == 0 &&
                     seen.calm_requests > 0 && seen.calm_failed == 0 &&
+                    seen.flows_after_drain == 0 &&
                     (!planned || seen.resets == 0);
   printf(
       "soak: requests=%ld answered=%ld calm_requests=%ld calm_answered=%ld "
       "calm_failed=%ld "
       "resets=%ld duplicate_runs=%ld wrong_service=%ld wrong_answers=%ld "
-      "changed_packets=%ld verdict=%s\n",
+      "changed_packets=%ld shed=%ld flows_after_drain=%ld crashes=%ld "
+      "drains=%ld verdict=%s\n",
       seen.requests, seen.answered, seen.calm_requests, seen.calm_answered,
       seen.calm_failed, seen.resets, seen.duplicate_runs, seen.wrong_service,
-      seen.wrong_answers, seen.changed_packets, held ? "held" : "BROKEN");
+      seen.wrong_answers, seen.changed_packets, seen.shed,
+      seen.flows_after_drain, seen.crashes, seen.drains,
+      held ? "held" : "BROKEN");
   return held ? 0 : 1;
 }
--- a/tools/soak/packet_world.cc
+++ b/tools/soak/packet_world.cc
@@ -14,7 +14,16 @@
 constexpr Duration kHeartbeat = std::chrono::milliseconds(400);
 constexpr Duration kProbe = std::chrono::milliseconds(250);
 constexpr int kMissesAllowed = 2;
-constexpr Duration kWork = std::chrono::milliseconds(10);
+constexpr Duration kWork = std::chrono::milliseconds(20);
+constexpr int kSlots = 3;
+constexpr size_t kQueueLimit = 6;
+// A target that has just started takes three times as long.
+constexpr Duration kSlowStart = std::chrono::milliseconds(1500);
+constexpr int kSlowness = 3;
+constexpr Duration kDisturbance = std::chrono::milliseconds(2500);
+constexpr Duration kDrainTime = std::chrono::milliseconds(2500);
+// Bound on new flows after an acknowledged drain, as the users' sites have it.
+constexpr Duration kDrainBound = std::chrono::milliseconds(3000);
 constexpr Duration kFirstCopy = std::chrono::milliseconds(200);
 constexpr Duration kSecondCopy = std::chrono::milliseconds(600);
 constexpr Duration kLongestRepeat = std::chrono::milliseconds(1600);
@@ -108,6 +117,7 @@
     timers_.push_back(
         loop.Every(kHeartbeat, [raw = target.get()] { raw->Announce(); }));
   }
+  timers_.push_back(loop.Every(kDisturbance, [this] { DisturbTargets(); }));
   constexpr Duration kLead = std::chrono::seconds(3);
   loop.Schedule(kLead, [this] {
     for (auto& client : clients_) client->Start();
@@ -167,7 +177,29 @@
       });
 }
 
+bool PacketWorld::Lose() {
+  return random.Below(1000) < static_cast<uint64_t>(options.lost_packets);
+}
+
+void PacketWorld::DisturbTargets() {
+  // The last disturbance is over when the calm time begins.
+  if (calm_from_ - loop.Now() < kDrainTime + kSlowStart) return;
+  const auto count = static_cast<uint64_t>(options.targets);
+  SoakTarget& target = *targets_[random.Below(count)];
+  if (target.draining()) return;
+  const bool crash =
+      options.crashes && (!options.drains || random.Below(2) == 0);
+  if (crash) {
+    ++verdict.crashes;
+    target.Crash();
+  } else if (options.drains) {
+    ++verdict.drains;
+    target.Drain();
+  }
+}
+
 void PacketWorld::ToBalancer(const Flow& flow, std::string_view packet) {
+  if (Lose()) return;
   int best = -1;
   uint64_t best_weight = 0;
   const bool any = std::any_of(misses_.begin(), misses_.end(),
@@ -193,8 +225,7 @@
     : world_(world),
       index_(index),
       service_(std::move(service)),
-      agent_(world.loop, world.options.Target(index, SoakOptions::kControl)),
-      born_ms_(WallClockMs()) {
+      agent_(world.loop, world.options.Target(index, SoakOptions::kControl)) {
   auto socket = PacketSocket::Open(
       world.loop, world.options.Target(index, SoakOptions::kApp),
       {[this](const Endpoint& /*from*/, char* bytes, size_t size) {
@@ -202,24 +233,79 @@
        },
        [] {}, nullptr});
   socket_ = std::move(*socket);
+  Crash();
+}
+
+std::string SoakTarget::Id() const {
+  return "t" + std::to_string(index_) + "-" + std::to_string(incarnation_);
+}
+
+void SoakTarget::Crash() {
+  flows_.clear();
+  queue_.clear();
+  working_ = 0;
+  sequence_ = 0;
+  ++incarnation_;
+  // Later than that of the incarnation before, also within a millisecond.
+  born_ms_ = std::max(born_ms_ + 1, WallClockMs());
+  started_ = world_.loop.Now();
+  draining_ = false;
+  drain_acknowledged_ = TimePoint();
+  Announce();
+}
+
+void SoakTarget::Drain() {
+  draining_ = true;
+  Announce();
+  const int incarnation = incarnation_;
+  world_.loop.Schedule(kDrainTime, [this, incarnation] {
+    if (incarnation != incarnation_) return;
+    Call("/v1/instances/" + Id() + "/deregister", "{}", [] {});
+    world_.loop.Schedule(kHeartbeat, [this, incarnation] {
+      if (incarnation == incarnation_) Crash();
+    });
+  });
 }
 
 void SoakTarget::Announce() {
+  const auto slow_left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(Duration::zero(), kSlowStart - (world_.loop.Now() - started_)));
   const nlohmann::json body = {
       {"service", service_},
       {"address", world_.options.Target(index_, SoakOptions::kApp).ToString()},
       {"zone", "z" + std::to_string(index_ % 2)},
       {"version", "v1"},
-      {"capacity", 3},
-      {"state", "ready"},
-      {"slowStartMs", 0},
+      {"capacity", kSlots},
+      {"state", draining_ ? "draining" : "ready"},
+      {"slowStartMs", slow_left.count()},
       {"seq", ++sequence_},
       {"born", born_ms_}};
+  const bool draining = draining_;
+  Call("/v1/instances/" + Id() + "/heartbeat", body.dump(), [this, draining] {
+    if (draining && draining_ && drain_acknowledged_ == TimePoint()) {
+      drain_acknowledged_ = world_.loop.Now();
+    }
+  });
+}
+
+void SoakTarget::Call(const std::string& path, const std::string& body,
+                      std::function<void()> acknowledged) {
   HttpRequest request;
   request.method = "POST";
-  request.path = "/v1/instances/t" + std::to_string(index_) + "/heartbeat";
-  request.body = body.dump();
-  call_ = agent_.Call(request, ConnectionUse::kFresh, [](HttpResult) {});
+  request.path = path;
+  request.body = body;
+  call_ =
+      agent_.Call(request, ConnectionUse::kFresh,
+                  [acknowledged = std::move(acknowledged)](HttpResult result) {
+                    if (result.whole && result.response.status == 200) {
+                      acknowledged();
+                    }
+                  });
+}
+
+void SoakTarget::Send(const std::string& packet) {
+  socket_->Queue(world_.options.Target(index_, SoakOptions::kOutbound), packet);
+  socket_->Flush();
 }
 
 void SoakTarget::OnPacket(char* bytes, size_t size) {
@@ -232,55 +318,95 @@
     sum = (sum << 8) | static_cast<uint8_t>(bytes[kChecksumOffset + i]);
   }
   if (sum != PacketWorld::Checksum(packet)) ++world_.verdict.changed_packets;
+  if (head->syn) {
+    OnSyn(flow, *head);
+    return;
+  }
   const auto known = flows_.find(flow);
   const bool held =
       known != flows_.end() &&
-      (known->second.open || head->acknowledged == known->second.sequence + 1 ||
-       head->syn);
-  if (!held && !head->syn) {
+      (known->second.open || head->acknowledged == known->second.sequence + 1);
+  if (!held) {
     bytes[2] = static_cast<char>(bytes[2] | 2);
     std::fill(bytes + 3, bytes + 6, '\0');
-    socket_->Queue(world_.options.Target(index_, SoakOptions::kOutbound),
-                   packet);
-    socket_->Flush();
+    Send(std::string(packet));
     return;
   }
-  Held& entry = flows_[flow];
-  if (head->syn) {
-    if (entry.client_sequence != head->sequence) {
-      entry = Held();
-      entry.client_sequence = head->sequence;
-      entry.sequence = static_cast<uint32_t>(world_.random.Next());
-    }
-    PacketHead answer;
-    answer.source = flow.service;
-    answer.destination = flow.caller;
-    answer.syn = answer.ack = true;
-    answer.sequence = entry.sequence;
-    socket_->Queue(world_.options.Target(index_, SoakOptions::kOutbound),
-                   PacketWorld::MakePacket(answer, ""));
-    socket_->Flush();
+  known->second.open = true;
+  if (head->fin || head->reset) {
+    flows_.erase(known);
     return;
   }
-  entry.open = true;
   if (head->payload_bytes == 0) return;
-  const std::string id(packet.substr(PlatformPacketCodec::kHeadBytes));
-  const uint32_t end = head->sequence + head->payload_bytes;
-  if (static_cast<int32_t>(end - entry.client_sequence) > 0) {
-    entry.client_sequence = end;
-    world_.OnRun(service_, id);
+  OnRequest(flow, known->second, *head,
+            std::string(packet.substr(PlatformPacketCodec::kHeadBytes)));
+}
+
+void SoakTarget::OnSyn(const Flow& flow, const PacketHead& head) {
+  Held& entry = flows_[flow];
+  if (entry.client_sequence != head.sequence && !entry.open) {
+    entry = Held();
+    entry.client_sequence = head.sequence;
+    entry.sequence = static_cast<uint32_t>(world_.random.Next());
+    const bool late = drain_acknowledged_ != TimePoint() &&
+                      world_.loop.Now() - drain_acknowledged_ > kDrainBound;
+    if (late) ++world_.verdict.flows_after_drain;
   }
-  world_.loop.Schedule(kWork, [this, flow, id] { Answer(flow, id); });
+  PacketHead answer;
+  answer.source = flow.service;
+  answer.destination = flow.caller;
+  answer.syn = answer.ack = true;
+  answer.sequence = entry.sequence;
+  Send(PacketWorld::MakePacket(answer, ""));
 }
 
-void SoakTarget::Answer(const Flow& flow, const std::string& id) {
+void SoakTarget::OnRequest(const Flow& flow, Held& entry,
+                           const PacketHead& head, const std::string& id) {
+  const uint32_t end = head.sequence + head.payload_bytes;
+  if (static_cast<int32_t>(end - entry.client_sequence) <= 0) {
+    // A repetition, because the answer was lost or is still to come.
+    if (entry.answered == id) Answer(flow, "done " + id);
+    return;
+  }
+  if (queue_.size() >= kQueueLimit) {
+    ++world_.verdict.shed;
+    Answer(flow, "shed " + id);
+    return;
+  }
+  entry.client_sequence = end;
+  world_.OnRun(service_, id);
+  queue_.push_back({flow, id});
+  Serve();
+}
+
+void SoakTarget::Serve() {
+  while (working_ < kSlots && !queue_.empty()) {
+    const Waiting waiting = queue_.front();
+    queue_.pop_front();
+    ++working_;
+    const int incarnation = incarnation_;
+    const bool slow = world_.loop.Now() - started_ < kSlowStart;
+    world_.loop.Schedule(kWork * (slow ? kSlowness : 1),
+                         [this, waiting, incarnation] {
+                           if (incarnation != incarnation_) return;
+                           --working_;
+                           const auto held = flows_.find(waiting.flow);
+                           if (held != flows_.end()) {
+                             held->second.answered = waiting.id;
+                             Answer(waiting.flow, "done " + waiting.id);
+                           }
+                           Serve();
+                         });
+  }
+}
+
+void SoakTarget::Answer(const Flow& flow, const std::string& text) {
   PacketHead head;
   head.source = flow.service;
   head.destination = flow.caller;
   head.ack = true;
-  socket_->Queue(world_.options.Target(index_, SoakOptions::kOutbound),
-                 PacketWorld::MakePacket(head, "done " + id));
-  socket_->Flush();
+  head.fin = draining_;
+  Send(PacketWorld::MakePacket(head, text));
 }
 
 SoakClient::SoakClient(PacketWorld& world, int index, Endpoint route,
@@ -367,21 +493,18 @@
 void SoakClient::OnPacket(char* bytes, size_t size) {
   const std::string_view packet(bytes, size);
   const auto head = world_.codec.Decode(packet);
-  if (!head || head->destination.port() != port_) return;
+  if (!head || head->destination.port() != port_ || world_.Lose()) return;
   if (head->reset) {
     ++world_.verdict.resets;
     const bool ran_maybe = open_ && busy_;
     open_ = false;
     ++attempt_;
     if (!busy_) return;
-    if ((ran_maybe && id_[0] == 'w') || tries_ >= kMaxTries) {
+    if (ran_maybe && RunsOnce(id_)) {
       Finish(false);
-      return;
+    } else {
+      Again();
     }
-    const int64_t attempt = attempt_;
-    world_.loop.Schedule(kRetryPause, [this, attempt] {
-      if (busy_ && attempt == attempt_) Try();
-    });
     return;
   }
   if (head->syn) {
@@ -396,11 +519,36 @@
   if (text == "done " + id_) {
     sequence_ += static_cast<uint32_t>(id_.size());
     Finish(true);
+    if (head->fin) Close();
+  } else if (text == "shed " + id_) {
+    Close();
+    Again();
   } else if (text.rfind("done ", 0) != 0) {
     ++world_.verdict.wrong_answers;
   }
 }
 
+void SoakClient::Again() {
+  if (tries_ >= kMaxTries) {
+    Finish(false);
+    return;
+  }
+  const int64_t attempt = ++attempt_;
+  world_.loop.Schedule(kRetryPause, [this, attempt] {
+    if (busy_ && attempt == attempt_) Try();
+  });
+}
+
+void SoakClient::Close() {
+  if (!open_) return;
+  open_ = false;
+  PacketHead head;
+  head.ack = head.fin = true;
+  head.sequence = sequence_;
+  head.acknowledged = server_sequence_ + 1;
+  Send(head, "");
+}
+
 void SoakClient::Finish(bool answered) {
   busy_ = false;
   ++attempt_;
@@ -408,7 +556,7 @@
   if (calm_) {
     ++(answered ? world_.verdict.calm_answered : world_.verdict.calm_failed);
   }
-  if (!answered || !keeps_flow_) open_ = false;
+  if (!answered || !keeps_flow_) Close();
   const Duration pause = kPause + Duration(world_.random.Below(100000));
   world_.loop.Schedule(pause, [this] { Request(); });
 }
--- a/tools/soak/packet_world.h
+++ b/tools/soak/packet_world.h
@@ -2,6 +2,7 @@
 #define SESAMESADDLE_TOOLS_SOAK_PACKET_WORLD_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -28,6 +29,12 @@
   uint64_t seed = 1;
   uint16_t base_port = 25000;
   std::string store = "127.0.0.1:25100";
+  /** Of a thousand packets of clients, and of those that reach them. */
+  int lost_packets = 5;
+  /** Targets crash, lose their flows and start anew. */
+  bool crashes = true;
+  /** Targets drain and are replaced. */
+  bool drains = true;
 
   Endpoint Balancer(int i, int port) const { return Address(1, i, port); }
   Endpoint Target(int i, int port) const { return Address(2, i, port); }
@@ -59,25 +66,53 @@
   int64_t wrong_answers = 0;
   int64_t changed_packets = 0;
   int64_t resets = 0;
+  /** Rejected by targets whose queues were full. */
+  int64_t shed = 0;
+  /** New flows delivered to a target long after its drain was acknowledged. */
+  int64_t flows_after_drain = 0;
+  int64_t crashes = 0;
+  int64_t drains = 0;
 };
 
 class PacketWorld;
 
-/** A target: holds flows, answers requests, announces itself. */
+/**
+ * A target: holds flows, works in slots with a short queue, is slow for a while
+ * after its start, announces itself, drains.
+ */
 class SoakTarget {
  public:
   SoakTarget(PacketWorld& world, int index, std::string service);
   void Announce();
+  /** Loses all flows and starts anew. */
+  void Crash();
+  /** Says that it leaves, leaves after a while, and another takes its place. */
+  void Drain();
+  bool draining() const { return draining_; }
 
  private:
   struct Held {
     uint32_t sequence = 0;
     uint32_t client_sequence = 0;
     bool open = false;
+    /** The request answered last. */
+    std::string answered;
+  };
+  struct Waiting {
+    Flow flow;
+    std::string id;
   };
 
+  void Call(const std::string& path, const std::string& body,
+            std::function<void()> acknowledged);
+  std::string Id() const;
   void OnPacket(char* bytes, size_t size);
-  void Answer(const Flow& flow, const std::string& id);
+  void OnSyn(const Flow& flow, const PacketHead& head);
+  void OnRequest(const Flow& flow, Held& entry, const PacketHead& head,
+                 const std::string& id);
+  void Serve();
+  void Answer(const Flow& flow, const std::string& text);
+  void Send(const std::string& packet);
 
   PacketWorld& world_;
   int index_;
@@ -86,8 +121,15 @@
   HttpClient agent_;
   std::unique_ptr<HttpCall> call_;
   std::map<Flow, Held> flows_;
+  std::deque<Waiting> queue_;
+  int working_ = 0;
   int64_t sequence_ = 0;
-  int64_t born_ms_;
+  int64_t born_ms_ = 0;
+  int incarnation_ = 0;
+  TimePoint started_{};
+  bool draining_ = false;
+  /** When the agent had acknowledged the drain. */
+  TimePoint drain_acknowledged_{};
 };
 
 /** A client that keeps one flow open, or opens one for each request. */
@@ -104,6 +146,10 @@
   void Send(const PacketHead& head, const std::string& payload);
   void OnPacket(char* bytes, size_t size);
   void Finish(bool answered);
+  /** Tries the request again on another flow, if there are tries left. */
+  void Again();
+  /** Ends the open flow. */
+  void Close();
 
   PacketWorld& world_;
   int index_;
@@ -134,6 +180,8 @@
   /** A target runs a request. */
   void OnRun(const std::string& service, const std::string& id);
   bool calm() const;
+  /** Whether the packet at hand is to be lost. */
+  bool Lose();
 
   static std::string MakePacket(const PacketHead& head,
                                 const std::string& payload);
@@ -149,6 +197,8 @@
  private:
   void WriteConfiguration();
   void ProbeReadiness(int balancer);
+  /** Has a target crash or drain, now and then until the calm time. */
+  void DisturbTargets();
 
   std::vector<std::unique_ptr<SoakTarget>> targets_;
   std::vector<std::unique_ptr<SoakClient>> clients_;
--- a/tools/soak/run.sh
+++ b/tools/soak/run.sh
@@ -1,11 +1,14 @@
 #!/usr/bin/env bash
-# run.sh SEED SECONDS [PORT] [planned]: the real programs under signals.
-# The seed decides which process gets which signal when; the plan is printed.
+# run.sh SEED SECONDS [PORT] [calm|planned|mixed]: the real programs under faults
+# from outside. calm: none. planned: balancers restart, targets drain. mixed:
+# signals, crashes of targets, lost packets, a store that misbehaves, and
+# disturbed connections to it. The seed decides what happens when; the plan of a
+# run that broke a promise is printed. BALANCERS, TARGETS and CLIENTS set sizes.
 # Ends only the processes that it started, by their ids.
 set -uo pipefail
 SEED="${1:?seed}" SECONDS_LONG="${2:?seconds}" PORT="${3:-25000}" MODE="${4:-mixed}"
 BIN="${BIN:-$(cd "$(dirname "$0")/../.." && pwd)/build}"
-BALANCERS=3 TARGETS=5 CALM=6
+BALANCERS="${BALANCERS:-3}" TARGETS="${TARGETS:-5}" CLIENTS="${CLIENTS:-40}" CALM=6
 RANDOM=$((SEED % 32768))
 WORK="$(mktemp -d)"
 STORE="127.0.0.1:$((PORT + 50))"
@@ -29,7 +32,7 @@
     echo "[bounds]"
     echo "graceS = 6"
     echo "[platform]"
-    echo "address = \"$STORE\""
+    echo "address = \"127.0.0.1:$((PORT + 60 + $2 % 2))\""
   } >"$file"
   echo "$file"
 }
@@ -50,12 +53,28 @@
 
 "$BIN/standins/standin_platform" --listen "$STORE" >"$WORK/store.log" 2>&1 &
 PIDS[store]=$!
+# Half of the processes reach the store through each of two proxies.
+for i in 0 1; do
+  "$BIN/standins/standin_proxy" --listen "127.0.0.1:$((PORT + 60 + i))" \
+    --control "127.0.0.1:$((PORT + 70 + i))" --to "$STORE" >"$WORK/proxy-$i.log" 2>&1 &
+  PIDS[proxy-$i]=$!
+done
+network() { echo "$2" >"/dev/udp/127.0.0.1/$((PORT + 70 + $1))"; }  # PROXY HOW
 sleep 0.3
+case "$MODE" in
+  calm) WORLD_MODE=(--planned --lost-packets 0 --no-crashes --no-drains) ;;
+  planned) WORLD_MODE=(--planned --no-crashes) ;;
+  mixed) WORLD_MODE=() ;;
+  *)
+    echo "run.sh: unknown mode \"$MODE\"; expected calm, planned or mixed" >&2
+    exit 2
+    ;;
+esac
 for ((i = 0; i < BALANCERS; ++i)); do start balancer $i; done
 for ((i = 0; i < TARGETS; ++i)); do start agent $i; done
 "$BIN/tools/soak_world" --seed "$SEED" --seconds "$SECONDS_LONG" --calm-seconds $CALM \
   --base-port "$PORT" --store "$STORE" --balancers $BALANCERS --targets $TARGETS \
-  $([ "$MODE" = planned ] && echo --planned) >"$WORK/world.log" 2>&1 &
+  --clients "$CLIENTS" "${WORLD_MODE[@]}" >"$WORK/world.log" 2>&1 &
 WORLD=$!
 sleep 4
 
@@ -65,12 +84,12 @@
   start "${1%-*}" "${1#*-}"
 }
 end=$((SECONDS + SECONDS_LONG - CALM - 4))
-while [ $SECONDS -lt $end ]; do
+while [ "$MODE" != calm ] && [ $SECONDS -lt $end ]; do
   if [ "$MODE" = planned ]; then
     name="balancer-$((RANDOM % BALANCERS))" fault=TERM
   else
     case $((RANDOM % 3)) in 0) name="balancer-$((RANDOM % BALANCERS))" ;; *) name="agent-$((RANDOM % TARGETS))" ;; esac
-    case $((RANDOM % 6)) in 0) fault=TERM ;; 1 | 2) fault=KILL ;; 3) fault=PAUSE ;; 4) fault=HUP ;; *) fault=STORE ;; esac
+    case $((RANDOM % 8)) in 0) fault=TERM ;; 1 | 2) fault=KILL ;; 3) fault=PAUSE ;; 4) fault=HUP ;; 5) fault=STORE ;; *) fault=NETWORK ;; esac
   fi
   echo "soak: $name $fault" >>"$WORK/plan.log"
   case $fault in
@@ -87,9 +106,19 @@
       sleep "0.$((RANDOM % 10))"
       curl -s -m 1 -X POST "http://$STORE/control?mode=ok" >/dev/null
       ;;
+    NETWORK)
+      which=$((RANDOM % 2))
+      how=$(printf 'delay 300\nreset\ncut up\ncut down\nhush\n' | sed -n "$((RANDOM % 5 + 1))p")
+      echo "soak: proxy-$which $how" >>"$WORK/plan.log"
+      network $which "$how"
+      sleep "$((RANDOM % 3)).$((RANDOM % 10))"
+      network $which ok
+      ;;
   esac
   sleep "0.$((RANDOM % 8))"
 done
+network 0 ok
+network 1 ok
 curl -s -m 1 -X POST "http://$STORE/control?mode=ok" >/dev/null
 wait $WORLD
 status=$?
