The service's usual response time is worked out once a choice; planned soaks drain no service bare

LeastWaitPlacement took two medians for each new flow, over the candidates and over all usable targets, and chose by both. One median over all usable targets now.

--- a/packages/steering/include/steering/placement.h
+++ b/packages/steering/include/steering/placement.h
@@ -62,7 +62,9 @@
   /** Takes out targets that fail requests, but for a trial now and then. */
   static void SetFailingAside(TimePoint now, const PlacementRequest& request,
                               std::vector<AgentView*>& usable);
+  /** @param usual_ms  response time of the service's targets, 0 if unknown */
   AgentView* Cheapest(TimePoint now, const PlacementRequest& request,
+                      double usual_ms,
                       const std::vector<AgentView*>& agents) const;
   double Cost(TimePoint now, const AgentView& view, double usual_ms) const;
 
--- a/packages/steering/src/placement.cc
+++ b/packages/steering/src/placement.cc
@@ -111,11 +111,12 @@
     if (directory_.Usable(now, *view)) usable.push_back(view);
   }
   if (MayBeSetAside(agents)) SetFailingAside(now, request, usable);
-  AgentView* best =
-      Cheapest(now, request, FlowCandidates(request.flow, zone_, usable));
+  const double usual_ms = UsualResponseMs(usable);
+  AgentView* best = Cheapest(now, request, usual_ms,
+                             FlowCandidates(request.flow, zone_, usable));
   if (best == nullptr) return nullptr;
-  if (Cost(now, *best, UsualResponseMs(usable)) > kOverloadedCost) {
-    best = Cheapest(now, request, usable);
+  if (Cost(now, *best, usual_ms) > kOverloadedCost) {
+    best = Cheapest(now, request, usual_ms, usable);
   }
   if (best->failing) best->next_trial = now + TargetDirectory::kTrialPeriod;
   return best;
@@ -143,9 +144,8 @@
 }
 
 AgentView* LeastWaitPlacement::Cheapest(
-    TimePoint now, const PlacementRequest& request,
+    TimePoint now, const PlacementRequest& request, double usual_ms,
     const std::vector<AgentView*>& agents) const {
-  const double usual_ms = UsualResponseMs(agents);
   AgentView* best = nullptr;
   double best_cost = 0;
   uint64_t best_weight = 0;
--- a/tools/soak/packet_world.cc
+++ b/tools/soak/packet_world.cc
@@ -186,7 +186,12 @@
   if (calm_from_ - loop.Now() < kDrainTime + kSlowStart) return;
   const auto count = static_cast<uint64_t>(options.targets);
   SoakTarget& target = *targets_[random.Below(count)];
-  if (target.draining()) return;
+  // A service without any target could only refuse.
+  const bool other_leaves = std::any_of(
+      targets_.begin(), targets_.end(), [&target](const auto& other) {
+        return other->draining() && other->service() == target.service();
+      });
+  if (other_leaves) return;
   const bool crash =
       options.crashes && (!options.drains || random.Below(2) == 0);
   if (crash) {
--- a/tools/soak/packet_world.h
+++ b/tools/soak/packet_world.h
@@ -89,6 +89,7 @@
   /** Says that it leaves, leaves after a while, and another takes its place. */
   void Drain();
   bool draining() const { return draining_; }
+  const std::string& service() const { return service_; }
 
  private:
   struct Held {
--- a/tools/soak/run.sh
+++ b/tools/soak/run.sh
@@ -8,7 +8,7 @@
 set -uo pipefail
 SEED="${1:?seed}" SECONDS_LONG="${2:?seconds}" PORT="${3:-25000}" MODE="${4:-mixed}"
 BIN="${BIN:-$(cd "$(dirname "$0")/../.." && pwd)/build}"
-BALANCERS="${BALANCERS:-3}" TARGETS="${TARGETS:-5}" CLIENTS="${CLIENTS:-40}" CALM=6
+BALANCERS="${BALANCERS:-3}" TARGETS="${TARGETS:-6}" CLIENTS="${CLIENTS:-40}" CALM=6
 RANDOM=$((SEED % 32768))
 WORK="$(mktemp -d)"
 STORE="127.0.0.1:$((PORT + 50))"
