Code that stood twice, state that could be derived, and a figure that said too much

Read over the whole change; behaviour stays as it is.

State that another field tells: AgentView::unanswered (its probes are over zero); AgentProcess's registration may live as long as the process. Work done twice: a flow's hash in each comparison of a search's order, the hash of every target compared where only ties need it, a block decoded twice in the load tool.

Not taken: clients of SteeringWorld and of the soak share their shape, not their clock and sockets; generated code; boilerplate of includes.

--- a/packages/node/include/node/control_plane.h
+++ b/packages/node/include/node/control_plane.h
@@ -84,6 +84,7 @@
   bool TakeConfigurationChanged();
 
  private:
+  bool TickOverdue(TimePoint now) const;
   schema::Gossip MakePing(MemberId member) const;
   void OnFetch(const Endpoint& from, const schema::ConfigurationFetch& fetch,
                Outbox& out);
--- a/packages/node/src/control_plane.cc
+++ b/packages/node/src/control_plane.cc
@@ -54,15 +54,16 @@
   return false;
 }
 
+bool ControlPlane::TickOverdue(TimePoint now) const {
+  return last_tick_ != TimePoint{} && now - last_tick_ >= kPause;
+}
+
 bool ControlPlane::JustPaused(TimePoint now) const {
-  if (last_tick_ == TimePoint{}) return false;
-  return now - last_tick_ >= kPause || now < backlog_until_;
+  return TickOverdue(now) || now < backlog_until_;
 }
 
 void ControlPlane::OnTick(TimePoint now, Outbox& out) {
-  if (last_tick_ != TimePoint{} && now - last_tick_ >= kPause) {
-    backlog_until_ = now + kBacklogTime;
-  }
+  if (TickOverdue(now)) backlog_until_ = now + kBacklogTime;
   last_tick_ = now;
   std::vector<GossipSend> sends;
   membership_.OnTick(now, replica_.revision(), sends);
--- a/packages/registry/include/registry/registration.h
+++ b/packages/registry/include/registry/registration.h
@@ -54,6 +54,9 @@
   struct Life {};
 
   void Step();
+  /** Notes a call under way. @return what hands its result to `handler` */
+  template <typename Handler>
+  auto Begin(Handler handler);
   void Grant();
   void Write();
   void Reread();
--- a/packages/registry/src/registration.cc
+++ b/packages/registry/src/registration.cc
@@ -49,29 +49,32 @@
   }
 }
 
-void Registration::Grant() {
+template <typename Handler>
+auto Registration::Begin(Handler handler) {
   call_under_way_ = true;
   std::weak_ptr<Life> life = life_;
-  store_.GrantLease(times_.lease, [this, life](auto granted) {
+  return [this, life, handler = std::move(handler)](auto result) {
     if (life.expired()) return;
     call_under_way_ = false;
-    if (!granted) {
-      OnFailure("lease", granted.error());
-      return;
-    }
-    lease_ = *granted;
-    next_renewal_ = scheduler_.Now() + times_.renewal;
-    OnSuccess();
-  });
+    handler(std::move(result));
+  };
+}
+
+void Registration::Grant() {
+  store_.GrantLease(times_.lease, Begin([this](auto granted) {
+                      if (!granted) {
+                        OnFailure("lease", granted.error());
+                        return;
+                      }
+                      lease_ = *granted;
+                      next_renewal_ = scheduler_.Now() + times_.renewal;
+                      OnSuccess();
+                    }));
 }
 
 void Registration::Write() {
-  call_under_way_ = true;
-  std::weak_ptr<Life> life = life_;
   const std::string value = wanted_;
-  const auto done = [this, life, value](auto written) {
-    if (life.expired()) return;
-    call_under_way_ = false;
+  const auto done = Begin([this, value](auto written) {
     if (written) {
       present_ = true;
       written_ = value;
@@ -94,7 +97,7 @@
     } else {
       OnFailure("write", written.error());
     }
-  };
+  });
   if (version_ == KeyVersion()) {
     store_.Create(key_, value, lease_, done);
   } else {
@@ -103,46 +106,40 @@
 }
 
 void Registration::Reread() {
-  call_under_way_ = true;
-  std::weak_ptr<Life> life = life_;
-  store_.Read(key_, [this, life](auto item) {
-    if (life.expired()) return;
-    call_under_way_ = false;
-    next_check_ = scheduler_.Now() + times_.check;
-    if (item) {
-      // Another incarnation, or a write of ours whose reply was lost.
-      const bool ours = present_ && version_ == KeyVersion(item->version);
-      version_ = KeyVersion(item->version);
-      if (!ours) present_ = false;
-      OnSuccess();
-    } else if (item.error() == StoreError::kNotFound) {
-      if (present_) LoseEntry("entry-missing");
-      version_ = KeyVersion();
-      present_ = false;
-      OnSuccess();
-    } else {
-      next_check_ = scheduler_.Now();
-      OnFailure("read", item.error());
-    }
-  });
+  store_.Read(key_, Begin([this](auto item) {
+                next_check_ = scheduler_.Now() + times_.check;
+                if (item) {
+                  // Another incarnation, or a write of ours whose reply was
+                  // lost.
+                  const bool ours =
+                      present_ && version_ == KeyVersion(item->version);
+                  version_ = KeyVersion(item->version);
+                  if (!ours) present_ = false;
+                  OnSuccess();
+                } else if (item.error() == StoreError::kNotFound) {
+                  if (present_) LoseEntry("entry-missing");
+                  version_ = KeyVersion();
+                  present_ = false;
+                  OnSuccess();
+                } else {
+                  next_check_ = scheduler_.Now();
+                  OnFailure("read", item.error());
+                }
+              }));
 }
 
 void Registration::Renew() {
-  call_under_way_ = true;
-  std::weak_ptr<Life> life = life_;
-  store_.RenewLease(lease_, [this, life](auto renewed) {
-    if (life.expired()) return;
-    call_under_way_ = false;
-    if (renewed) {
-      next_renewal_ = scheduler_.Now() + times_.renewal;
-      OnSuccess();
-    } else if (renewed.error() == StoreError::kLeaseExpired) {
-      LoseEntry("lease-expired");
-      Step();
-    } else {
-      OnFailure("renewal", renewed.error());
-    }
-  });
+  store_.RenewLease(lease_, Begin([this](auto renewed) {
+                      if (renewed) {
+                        next_renewal_ = scheduler_.Now() + times_.renewal;
+                        OnSuccess();
+                      } else if (renewed.error() == StoreError::kLeaseExpired) {
+                        LoseEntry("lease-expired");
+                        Step();
+                      } else {
+                        OnFailure("renewal", renewed.error());
+                      }
+                    }));
 }
 
 void Registration::LoseEntry(const char* reason) {
--- a/packages/registry/src/replica_follower.cc
+++ b/packages/registry/src/replica_follower.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "core/text.h"
+
 namespace sesamesaddle {
 namespace {
 
@@ -28,8 +30,7 @@
       listener_(listener) {}
 
 bool ReplicaFollower::OfDirectory(const std::string& key) const {
-  return key.compare(0, keys_.directory_prefix.size(),
-                     keys_.directory_prefix) == 0;
+  return HasPrefix(key, keys_.directory_prefix);
 }
 
 void ReplicaFollower::Start() {
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -199,12 +199,16 @@
   void StopWaiting(FlowEntry& entry);
   void Expect(TimePoint now, const Flow& flow, FlowEntry& entry);
   void StopExpecting(FlowEntry& entry);
+  /** The flow is no work any more, neither present nor to come. */
+  void StopCounting(FlowEntry& entry);
   void ExpireExpectations(TimePoint now);
   void Erase(FlowMap::iterator it);
   bool KnowsAllFlows(TimePoint now) const;
   BalancerView& Touch(TimePoint now, const Endpoint& balancer);
   /** As Touch; the balancer's report goes out soon. */
   BalancerView& TouchUrgently(TimePoint now, const Endpoint& balancer);
+  /** Every balancer's report goes out soon. */
+  void ReportToAll();
   uint32_t MakeEcho(const Endpoint& balancer, bool offered);
   Endpoint BalancerOfEcho(uint32_t echo, bool& offered) const;
   void SendReport(TimePoint now, const Endpoint& balancer, BalancerView& view);
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -152,8 +152,7 @@
   void OnHolderFound(TimePoint now, const Flow& flow, AgentView& agent);
   void Reset(const Flow& flow, uint32_t acknowledged, std::string_view reason);
   void Ask(TimePoint now, AgentView& agent, const Flow& flow) override;
-  void Offer(TimePoint now, AgentView& agent, const Flow& flow,
-             std::string packet) override;
+  void Offer(TimePoint now, AgentView& agent, std::string packet) override;
   void OnNobodyHolds(TimePoint now, const Flow& flow,
                      uint32_t acknowledged) override;
   void RetryPlacements(TimePoint now);
--- a/packages/steering/include/steering/flow_prober.h
+++ b/packages/steering/include/steering/flow_prober.h
@@ -21,9 +21,8 @@
 
   /** Ask the agent whether its target holds the flow. */
   virtual void Ask(TimePoint now, AgentView& agent, const Flow& flow) = 0;
-  /** Deliver the packet at that agent only if its target holds the flow. */
-  virtual void Offer(TimePoint now, AgentView& agent, const Flow& flow,
-                     std::string packet) = 0;
+  /** Deliver the packet at that agent only if its target holds its flow. */
+  virtual void Offer(TimePoint now, AgentView& agent, std::string packet) = 0;
   /** Every target that could hold the flow has said that it does not. */
   virtual void OnNobodyHolds(TimePoint now, const Flow& flow,
                              uint32_t acknowledged) = 0;
--- a/packages/steering/include/steering/target_directory.h
+++ b/packages/steering/include/steering/target_directory.h
@@ -41,9 +41,8 @@
   TimePoint next_trial{};
   /** A SYN was refused; the agent is asked again after this time. */
   TimePoint refuses_until{};
-  /** The first packet sent since the last report, if any was. */
+  /** The first packet sent since the agent was heard, if any was. */
   TimePoint unanswered_since{};
-  bool unanswered = false;
   /** Packets since then that had, or have, the time for an answer each. */
   int unanswered_probes = 0;
   TimePoint last_probe{};
@@ -82,9 +81,6 @@
            const schema::TargetRecord& record, int64_t revision);
   /** The store's directory no longer holds the key. */
   void Remove(TimePoint now, const std::string& key, int64_t revision);
-  /** Marks all entries that are not in `keys` as removed. */
-  void KeepOnly(TimePoint now, const std::vector<std::string>& keys,
-                int64_t revision);
 
   /** @return the view of that agent, or null. */
   AgentView* Find(const Endpoint& agent);
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -141,8 +141,7 @@
                     entry.syn_sequence == sequence;
   if (!copy) {
     // A client's port that is used again names a new flow.
-    StopWaiting(entry);
-    StopExpecting(entry);
+    StopCounting(entry);
     entry = FlowEntry();
     entry.syn_sequence = sequence;
     entry.client_sequence = sequence;
@@ -213,8 +212,7 @@
   entry.client_acknowledged = head.acknowledged;
   if (head.reset) {
     entry.state = FlowState::kEnded;
-    StopWaiting(entry);
-    StopExpecting(entry);
+    StopCounting(entry);
     return;
   }
   entry.client_ended = entry.client_ended || head.fin;
@@ -265,8 +263,7 @@
   if (head->reset) NoteBreak(entry);
   entry.target_ended = entry.target_ended || head->fin;
   if (head->reset || (entry.target_ended && entry.client_ended)) {
-    StopWaiting(entry);
-    StopExpecting(entry);
+    StopCounting(entry);
     entry.state = FlowState::kEnded;
   }
   ++counters_.packets_to_clients;
@@ -347,8 +344,7 @@
 void FlowAgent::ResetAll(std::string_view reason) {
   for (auto& [flow, entry] : flows_) {
     if (entry.state == FlowState::kOpen) ResetFlow(flow, entry, reason);
-    StopWaiting(entry);
-    StopExpecting(entry);
+    StopCounting(entry);
     // Remembered for the packets that clients have still sent.
     entry.state = FlowState::kEnded;
   }
@@ -374,11 +370,7 @@
 bool FlowAgent::OnDeregister(TimePoint /*now*/, const std::string& id) {
   if (!health_.OnDeregister(id)) return false;
   ResetAll("target-ended");
-  for (auto& [endpoint, view] : balancers_) {
-    view.packets_since_report = true;
-    view.urgent = true;
-  }
-  urgent_ = true;
+  ReportToAll();
   return true;
 }
 
@@ -418,11 +410,7 @@
       .Add("service", service())
       .Add("failed_percent", static_cast<int>(100 * answers_.failed_share()))
       .Add("waiting", waiting_);
-  for (auto& [endpoint, view] : balancers_) {
-    view.packets_since_report = true;
-    view.urgent = true;
-  }
-  urgent_ = true;
+  ReportToAll();
 }
 
 void FlowAgent::StopWaiting(FlowEntry& entry) {
@@ -431,9 +419,13 @@
   --waiting_;
 }
 
+void FlowAgent::StopCounting(FlowEntry& entry) {
+  StopWaiting(entry);
+  StopExpecting(entry);
+}
+
 void FlowAgent::Erase(FlowMap::iterator it) {
-  StopWaiting(it->second);
-  StopExpecting(it->second);
+  StopCounting(it->second);
   flows_.erase(it);
 }
 
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -145,4 +145,12 @@
   return view;
 }
 
+void FlowAgent::ReportToAll() {
+  for (auto& [endpoint, view] : balancers_) {
+    view.packets_since_report = true;
+    view.urgent = true;
+  }
+  urgent_ = true;
+}
+
 }  // namespace sesamesaddle
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -256,8 +256,7 @@
   queries_.clear();
 }
 
-void FlowBalancer::Offer(TimePoint now, AgentView& agent, const Flow& /*flow*/,
-                         std::string packet) {
+void FlowBalancer::Offer(TimePoint now, AgentView& agent, std::string packet) {
   ++counters_.offers;
   codec_.SetHop(packet.data(), {HopKind::kOffer, agent.service_check}, 0);
   TargetDirectory::NoteSent(now, agent);
@@ -302,7 +301,7 @@
   }
   const Flow flow{head->source, head->destination};
   AgentView* view = directory_.Find(agent);
-  if (view != nullptr) view->unanswered = false;
+  if (view != nullptr) view->unanswered_probes = 0;
   const Route* route = routes_.Find(flow.service);
   const auto it = flows_.find(flow);
   if (head->tag.kind == HopKind::kNotHeld) {
--- a/packages/steering/src/flow_prober.cc
+++ b/packages/steering/src/flow_prober.cc
@@ -24,7 +24,7 @@
     for (const Endpoint& agent : search.unsure) {
       AgentView* view = directory_.Find(agent);
       if (view == nullptr || search.denied.count(agent) != 0) continue;
-      output_.Offer(now, *view, flow, packet);
+      output_.Offer(now, *view, packet);
     }
   }
   if (search.packets.size() < kMaxHeldPackets) {
@@ -66,7 +66,7 @@
   if (it == searches_.end() || view == nullptr) return;
   if (!it->second.unsure.insert(agent).second) return;
   for (const std::string& packet : it->second.packets) {
-    output_.Offer(now, *view, flow, packet);
+    output_.Offer(now, *view, packet);
   }
 }
 
@@ -88,8 +88,8 @@
       if (open(view)) next.push_back(view);
     }
   }
-  std::sort(next.begin(), next.end(), [&flow](auto* a, auto* b) {
-    const uint64_t seed = HashFlow(flow);
+  const uint64_t seed = HashFlow(flow);
+  std::sort(next.begin(), next.end(), [seed](auto* a, auto* b) {
     return (static_cast<uint64_t>(a->agent.Pack()) ^ seed) <
            (static_cast<uint64_t>(b->agent.Pack()) ^ seed);
   });
--- a/packages/steering/src/placement.cc
+++ b/packages/steering/src/placement.cc
@@ -148,17 +148,15 @@
     const std::vector<AgentView*>& agents) const {
   AgentView* best = nullptr;
   double best_cost = 0;
-  uint64_t best_weight = 0;
   for (AgentView* view : agents) {
     const double cost = Cost(now, *view, usual_ms);
-    const uint64_t weight = Weight(request.flow, *view);
-    if (best != nullptr &&
-        (cost > best_cost || (cost == best_cost && weight < best_weight))) {
-      continue;
-    }
+    const bool worse = best != nullptr &&
+                       (cost > best_cost ||
+                        (cost == best_cost && Weight(request.flow, *view) <
+                                                  Weight(request.flow, *best)));
+    if (worse) continue;
     best = view;
     best_cost = cost;
-    best_weight = weight;
   }
   return best;
 }
--- a/packages/steering/src/target_directory.cc
+++ b/packages/steering/src/target_directory.cc
@@ -42,7 +42,7 @@
   view.listed = true;
   // Whoever writes an entry is up.
   view.restarting = false;
-  view.unanswered = false;
+  view.unanswered_probes = 0;
   view.refuses_until = TimePoint();
   by_key_[key] = agent;
   if (!added && service_before == record.service_name) return;
@@ -65,15 +65,6 @@
   view->revision = revision;
 }
 
-void TargetDirectory::KeepOnly(TimePoint now,
-                               const std::vector<std::string>& keys,
-                               int64_t revision) {
-  for (const auto& [key, agent] : by_key_) {
-    if (std::find(keys.begin(), keys.end(), key) != keys.end()) continue;
-    Remove(now, key, revision);
-  }
-}
-
 AgentView* TargetDirectory::Find(const Endpoint& agent) {
   const auto it = agents_.find(agent);
   return it == agents_.end() ? nullptr : &it->second;
@@ -107,7 +98,7 @@
   view->queued = report.queued;
   view->last_report = now;
   view->reported = true;
-  view->unanswered = false;
+  view->unanswered_probes = 0;
   view->restarting = report.restarting;
   if (report.failing && !view->failing) {
     view->next_trial = now + kTrialPeriod;
@@ -124,8 +115,7 @@
 void TargetDirectory::NoteSent(TimePoint now, AgentView& view) {
   const bool tried_again = now - view.last_sent >= kSilencePause;
   view.last_sent = now;
-  if (!view.unanswered || tried_again) {
-    view.unanswered = true;
+  if (view.unanswered_probes == 0 || tried_again) {
     view.unanswered_since = now;
     view.unanswered_probes = 0;
   } else if (now - view.last_probe < kAnswerTime) {
@@ -136,7 +126,8 @@
 }
 
 bool TargetDirectory::Silent(TimePoint now, const AgentView& view) const {
-  return view.unanswered && now - view.unanswered_since > kSilenceLimit &&
+  return view.unanswered_probes > 0 &&
+         now - view.unanswered_since > kSilenceLimit &&
          now - view.last_sent < kSilencePause &&
          last_report_of_any_ > view.unanswered_since + kSilenceLimit / 2;
 }
--- a/packages/steering_daemon/include/steering_daemon/agent_process.h
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -56,7 +56,7 @@
   prometheus::Registry histograms_;
   LatencyHistogram response_times_;
   FlowAgent agent_;
-  std::unique_ptr<Registration> registration_;
+  Registration registration_;
   std::unique_ptr<PacketSocket> balancers_;
   std::unique_ptr<PacketSocket> target_;
   std::unique_ptr<PacketSocket> control_;
--- a/packages/steering_daemon/include/steering_daemon/steering_process.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_process.h
@@ -2,6 +2,7 @@
 #define SESAMESADDLE_STEERING_DAEMON_STEERING_PROCESS_H_
 
 #include <atomic>
+#include <memory>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -10,6 +11,7 @@
 #include "core/scheduler.h"
 #include "net/event_loop.h"
 #include "net/net_error.h"
+#include "net/packet_socket.h"
 #include "registry/registration.h"
 #include "steering/configuration_decoder.h"
 #include "steering/packet.h"
@@ -57,6 +59,15 @@
   static constexpr char kBalancerPrefix[] = "sesamesaddle/balancer/";
 };
 
+/**
+ * Opens a socket of a process.
+ * @param socket  set to the socket
+ * @return nothing, or why it could not be opened
+ */
+tl::expected<void, NetError> OpenSocket(EventLoop& loop, const Endpoint& local,
+                                        PacketSocket::Handlers handlers,
+                                        std::unique_ptr<PacketSocket>& socket);
+
 /** @return the times of an entry under a lease that the store grants. */
 RegistrationTimes TimesOfEntry(const SteeringSettings& settings);
 
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -35,7 +35,10 @@
                       "From the first packet of a request at the target to the "
                       "first packet of its answer"),
       agent_(parts.loop.Now(), MakeOptions(settings_), parts.codec, *this,
-             parts.log, response_times_) {}
+             parts.log, response_times_),
+      registration_(parts.store, parts.scheduler, parts.random, parts.log,
+                    TimesOfEntry(settings_),
+                    DirectoryKeys::OfTarget(settings_.packets)) {}
 
 tl::expected<void, NetError> AgentProcess::Open() {
   auto opened = OpenSockets();
@@ -51,31 +54,29 @@
 
 tl::expected<void, NetError> AgentProcess::OpenSockets() {
   const auto flush = [this] { Flush(); };
-  auto balancers = PacketSocket::Open(
+  auto opened = OpenSocket(
       parts_.loop, settings_.packets,
       {[this](const Endpoint& from, char* bytes, size_t size) {
          agent_.OnBalancerPacket(parts_.loop.Now(), from, bytes, size);
        },
-       flush, nullptr});
-  if (!balancers) return tl::unexpected(balancers.error());
-  balancers_ = std::move(*balancers);
-  auto target = PacketSocket::Open(
+       flush, nullptr},
+      balancers_);
+  if (!opened) return opened;
+  opened = OpenSocket(
       parts_.loop, settings_.outbound,
       {[this](const Endpoint& /*from*/, char* bytes, size_t size) {
          agent_.OnTargetPacket(parts_.loop.Now(), bytes, size);
        },
-       flush, [this] { agent_.OnTargetUnreachable(parts_.loop.Now()); }});
-  if (!target) return tl::unexpected(target.error());
-  target_ = std::move(*target);
-  auto control = PacketSocket::Open(
-      parts_.loop, PeerEndpoint(settings_, settings_.ip, PeerPort::kControl),
-      {[this](const Endpoint& from, char* bytes, size_t size) {
-         OnControl(from, std::string_view(bytes, size));
-       },
-       flush, nullptr});
-  if (!control) return tl::unexpected(control.error());
-  control_ = std::move(*control);
-  return {};
+       flush, [this] { agent_.OnTargetUnreachable(parts_.loop.Now()); }},
+      target_);
+  if (!opened) return opened;
+  return OpenSocket(parts_.loop,
+                    PeerEndpoint(settings_, settings_.ip, PeerPort::kControl),
+                    {[this](const Endpoint& from, char* bytes, size_t size) {
+                       OnControl(from, std::string_view(bytes, size));
+                     },
+                     flush, nullptr},
+                    control_);
 }
 
 void AgentProcess::OnControl(const Endpoint& from, std::string_view bytes) {
@@ -153,8 +154,7 @@
       .Add("present", present);
   if (!present) return;
   Flush();
-  if (registration_ == nullptr) return;
-  registration_->Withdraw([] {});
+  registration_.Withdraw([] {});
 }
 
 void AgentProcess::OnBadAnnouncement(const std::string& reason) {
@@ -179,12 +179,7 @@
 }
 
 void AgentProcess::PublishTarget() {
-  if (registration_ == nullptr) {
-    registration_ = std::make_unique<Registration>(
-        parts_.store, parts_.scheduler, parts_.random, parts_.log,
-        TimesOfEntry(settings_), DirectoryKeys::OfTarget(settings_.packets));
-  }
-  registration_->Publish(EncodeCompact(MakeRecord()));
+  registration_.Publish(EncodeCompact(MakeRecord()));
 }
 
 void AgentProcess::ToTarget(std::string_view packet) {
@@ -289,8 +284,7 @@
       {"flows", static_cast<int64_t>(agent_.flow_count())},
       {"requests_waiting", agent_.waiting()},
       {"target_state", static_cast<int64_t>(agent_.health().state())},
-      {"entry_published",
-       registration_ != nullptr && registration_->published() ? 1 : 0},
+      {"entry_published", registration_.published() ? 1 : 0},
       {"send_failures_total",
        balancers_->send_failures() + target_->send_failures()},
   };
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/text.h"
 #include "schema/codec.h"
 #include "schema/readable_json.h"
 
@@ -24,10 +25,6 @@
   return {decoder.store_key(), DirectoryKeys::kPrefix};
 }
 
-bool HasPrefix(const std::string& text, std::string_view prefix) {
-  return text.compare(0, prefix.size(), prefix) == 0;
-}
-
 }  // namespace
 
 BalancerProcess::BalancerProcess(SteeringParts parts, SteeringSettings settings,
@@ -75,32 +72,30 @@
 
 tl::expected<void, NetError> BalancerProcess::OpenSockets() {
   const auto flush = [this] { Flush(); };
-  auto clients = PacketSocket::Open(
-      parts_.loop, settings_.packets,
-      {[this](const Endpoint& /*from*/, char* bytes, size_t size) {
-         last_client_packet_ = parts_.loop.Now();
-         balancer_.OnClientPacket(last_client_packet_, bytes, size);
-       },
-       flush, nullptr});
-  if (!clients) return tl::unexpected(clients.error());
-  clients_ = std::move(*clients);
-  auto agents = PacketSocket::Open(
+  auto opened =
+      OpenSocket(parts_.loop, settings_.packets,
+                 {[this](const Endpoint& /*from*/, char* bytes, size_t size) {
+                    last_client_packet_ = parts_.loop.Now();
+                    balancer_.OnClientPacket(last_client_packet_, bytes, size);
+                  },
+                  flush, nullptr},
+                 clients_);
+  if (!opened) return opened;
+  opened = OpenSocket(
       parts_.loop, PeerEndpoint(settings_, settings_.ip, PeerPort::kReturned),
       {[this](const Endpoint& from, char* bytes, size_t size) {
          balancer_.OnAgentPacket(parts_.loop.Now(), from, bytes, size);
        },
-       flush, nullptr});
-  if (!agents) return tl::unexpected(agents.error());
-  agents_ = std::move(*agents);
-  auto control = PacketSocket::Open(
-      parts_.loop, PeerEndpoint(settings_, settings_.ip, PeerPort::kControl),
-      {[this](const Endpoint& from, char* bytes, size_t size) {
-         OnControl(from, std::string_view(bytes, size));
-       },
-       flush, nullptr});
-  if (!control) return tl::unexpected(control.error());
-  control_ = std::move(*control);
-  return {};
+       flush, nullptr},
+      agents_);
+  if (!opened) return opened;
+  return OpenSocket(parts_.loop,
+                    PeerEndpoint(settings_, settings_.ip, PeerPort::kControl),
+                    {[this](const Endpoint& from, char* bytes, size_t size) {
+                       OnControl(from, std::string_view(bytes, size));
+                     },
+                     flush, nullptr},
+                    control_);
 }
 
 void BalancerProcess::Run() {
--- a/packages/steering_daemon/src/steering_process.cc
+++ b/packages/steering_daemon/src/steering_process.cc
@@ -1,6 +1,7 @@
 #include "steering_daemon/steering_process.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sesamesaddle {
 
@@ -12,6 +13,15 @@
   return kBalancerPrefix + control.ToString();
 }
 
+tl::expected<void, NetError> OpenSocket(EventLoop& loop, const Endpoint& local,
+                                        PacketSocket::Handlers handlers,
+                                        std::unique_ptr<PacketSocket>& socket) {
+  auto opened = PacketSocket::Open(loop, local, std::move(handlers));
+  if (!opened) return tl::unexpected(opened.error());
+  socket = std::move(*opened);
+  return {};
+}
+
 RegistrationTimes TimesOfEntry(const SteeringSettings& settings) {
   RegistrationTimes times;
   times.lease = std::max(times.lease, settings.shortest_lease);
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -9,12 +9,14 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "core/text.h"
 #include "core/time.h"
 #include "memory_store.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "net/query.h"
 #include "platform/base64.h"
+#include "platform/json_response.h"
 
 namespace sesamesaddle {
 namespace {
@@ -23,20 +25,14 @@
 
 using Json = nlohmann::json;
 
+constexpr std::string_view kRenewal = "/v1/kv-keep/";
+constexpr std::string_view kLeaseEnd = "/v1/kv-lease-end/";
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kHistoryGone = 410;
 constexpr int kPrecondition = 412;
 constexpr int kTooManyRequests = 429;
 
-HttpResponse JsonResponse(int status, const Json& body) {
-  HttpResponse response;
-  response.status = status;
-  response.content_type = "application/json";
-  response.body = body.dump();
-  return response;
-}
-
 Json ItemJson(const schema::KeyValue& item) {
   if (item.deleted) {
     return {{"key", item.key}, {"revision", item.version}, {"removed", true}};
@@ -132,7 +128,7 @@
       writes_ = 0;
       reads_ = 0;
     }
-    if (request.path.rfind("/v1/kv-keep/", 0) == 0) {
+    if (HasPrefix(request.path, kRenewal)) {
       reads_ += 0.1;
     } else if (request.method == "GET") {
       reads_ += 1;
@@ -169,8 +165,6 @@
   }
 
   HttpResponse Answer(const HttpRequest& request) {
-    const std::string keep = "/v1/kv-keep/";
-    const std::string end = "/v1/kv-lease-end/";
     const Json body = request.body.empty()
                           ? Json::object()
                           : Json::parse(request.body, nullptr, false);
@@ -193,13 +187,13 @@
           store_.GrantLease(loop_.Now(), std::chrono::milliseconds(ttl_ms));
       return JsonResponse(200, {{"lease", lease.value()}, {"ttlMs", ttl_ms}});
     }
-    if (request.path.rfind(keep, 0) == 0) {
-      const LeaseId lease(std::stoll(request.path.substr(keep.size())));
+    if (HasPrefix(request.path, kRenewal)) {
+      const LeaseId lease(std::stoll(request.path.substr(kRenewal.size())));
       const auto renewed = store_.RenewLease(loop_.Now(), lease);
       return JsonResponse(renewed ? 200 : kNotFound, Json::object());
     }
-    if (request.path.rfind(end, 0) == 0) {
-      const LeaseId lease(std::stoll(request.path.substr(end.size())));
+    if (HasPrefix(request.path, kLeaseEnd)) {
+      const LeaseId lease(std::stoll(request.path.substr(kLeaseEnd.size())));
       const auto ended = store_.EndLease(lease);
       return JsonResponse(ended ? 200 : kNotFound, Json::object());
     }
--- a/standins/platform/memory_store.cc
+++ b/standins/platform/memory_store.cc
@@ -1,12 +1,10 @@
 #include "memory_store.h"
 
+#include "core/text.h"
+
 namespace sesamesaddle {
 namespace {
 
-bool HasPrefix(const std::string& key, const std::string& prefix) {
-  return key.compare(0, prefix.size(), prefix) == 0;
-}
-
 schema::KeyValue MakeItem(const std::string& key, const std::string& value,
                           int64_t version, bool deleted) {
   schema::KeyValue item;
--- a/tools/load/caller.cc
+++ b/tools/load/caller.cc
@@ -182,21 +182,20 @@
   }
   const Text text = LocatedTextOf(received);
   if (text.bytes.size() < text.total && request_.pieces < kMaxPieces) {
-    OnPiece(received);
+    OnPiece(text.bytes, text.offset);
     return;
   }
   EndRequest(now, received);
 }
 
-void Caller::OnPiece(const coap_pdu_t* received) {
-  const Text text = LocatedTextOf(received);
+void Caller::OnPiece(const std::string& piece, size_t offset) {
   ++report_.pieces;
   ++request_.pieces;
-  if (!IsOurPiece(text.bytes, text.offset)) {
+  if (!IsOurPiece(piece, offset)) {
     ++report_.wrong_answers;
     fprintf(stderr, "load: request %lld of %s got a block of another: %s\n",
             static_cast<long long>(request_.id),  // NOLINT
-            options_.service.c_str(), text.bytes.c_str());
+            options_.service.c_str(), piece.c_str());
   }
   SendRequest("");
 }
--- a/tools/load/caller.h
+++ b/tools/load/caller.h
@@ -68,7 +68,7 @@
    * transfer if a repeated block arrives in its middle, which a network may
    * do at any time; the answer is asked for again.
    */
-  void OnPiece(const coap_pdu_t* received);
+  void OnPiece(const std::string& piece, size_t offset);
   /** Whether the block is one of this request's answer. */
   bool IsOurPiece(const std::string& piece, size_t offset) const;
   void EndRequest(TimePoint now, const coap_pdu_t* received);
