A flow is given up only by a directory read after its search began

Cause: a balancer learns of new targets by a watch that gathers changes for up to 0.8 s. A balancer that lists a new target sooner than another one places a flow there; the flow's next packet comes to the other one, which asks all agents that it knows, is denied by all, and resets the open flow. "Follows the store" says only that the last call succeeded, not that the copy is as new as the flow.

Change: a search concludes only if the directory was read after it began. The follower finds out by one call (the store's revision, from a list that matches nothing) whether anything changed, and reads the changes if so; a watch that does not reach that revision proves nothing. All searches of a balancer share one read; all balancers together use at most a quarter of the store's read rate, which the settings tell (ReadAllowance), so that a fleet of 830 asks once in 1.7 s each.

Ruled out: a shorter gathering time (the race stays, each change wakes every balancer); trusting a watch in progress (it may hang, or be hushed).

Tests that failed first: steering "A flow at a target that was listed just now is not reset" (4 resets before, 0 after); registry: four on Refresh, one on the rate.

--- a/benchmark/steering_benchmark.cc
+++ b/benchmark/steering_benchmark.cc
@@ -27,6 +27,7 @@
                 std::string_view /*packet*/) override {}
   void Query(const Endpoint& /*agent*/,
              const schema::FlowQuery& /*query*/) override {}
+  void RefreshDirectory() override {}
 };
 
 schema::TargetRecord MakeRecord(int64_t i) {
--- a/packages/registry/include/registry/replica_follower.h
+++ b/packages/registry/include/registry/replica_follower.h
@@ -8,6 +8,7 @@
 #include "core/event_log.h"
 #include "core/random.h"
 #include "core/scheduler.h"
+#include "registry/read_allowance.h"
 #include "registry/retry_backoff.h"
 #include "steering_types.h"
 #include "store/store.h"
@@ -25,6 +26,8 @@
   virtual void OnEntry(const std::string& key, const std::string& value,
                        int64_t revision) = 0;
   virtual void OnEntryRemoved(const std::string& key, int64_t revision) = 0;
+  /** All that the store held at that time has been told. */
+  virtual void OnRead(TimePoint as_of) = 0;
 };
 
 /** Where things stand in the store. */
@@ -49,6 +52,8 @@
   Duration gather_at_start = std::chrono::milliseconds(100);
   /** So long after the start, or after the store's return, it is a start. */
   Duration start = std::chrono::seconds(5);
+  /** Least time between reads that `Refresh` asks for. */
+  Duration refresh = std::chrono::milliseconds(10);
   Duration first_retry = std::chrono::milliseconds(200);
   Duration last_retry = std::chrono::seconds(1);
 };
@@ -62,9 +67,17 @@
  public:
   ReplicaFollower(Store& store, Scheduler& scheduler, RandomSource& random,
                   EventLog& log, ReplicaKeys keys, FollowerTimes times,
-                  ReplicaListener& listener);
+                  ReadAllowance allowance, ReplicaListener& listener);
 
   void Start();
+  /**
+   * Finds out at once what the store holds, without waiting for the watch; the
+   * listener's OnRead tells. Does nothing while such a read is under way, or if
+   * the last one was too short ago.
+   */
+  void Refresh();
+  /** How many processes follow the store as this one does. */
+  void SetFollowers(size_t followers) { followers_ = followers; }
   /** Takes a peer's copy if it is ahead. */
   void TakeSnapshot(const schema::ReplicaSnapshot& snapshot);
   /** @return the copy for a peer. */
@@ -94,6 +107,10 @@
   void OnFailure(StoreError error);
   void OnAnswer();
   Duration GatherTime() const;
+  /** Reads changes until the copy is as new as that revision. */
+  void CatchUp(TimePoint began, int64_t revision);
+  void EndRefresh(StoreError error);
+  void TakeChanges(const schema::KeyValueList& changes);
 
   Store& store_;
   Scheduler& scheduler_;
@@ -101,7 +118,9 @@
   ReplicaKeys keys_;
   FollowerTimes times_;
   RetryBackoff backoff_;
+  ReadAllowance allowance_;
   ReplicaListener& listener_;
+  size_t followers_ = 1;
   std::string configuration_;
   int64_t configuration_revision_ = 0;
   std::map<std::string, schema::ReplicaEntry> entries_;
@@ -112,6 +131,8 @@
   bool store_failed_ = false;
   TimePoint failed_since_{};
   TimePoint started_{};
+  bool refreshing_ = false;
+  TimePoint last_refresh_{};
 };
 
 }  // namespace sesamesaddle
--- a/packages/registry/src/replica_follower.cc
+++ b/packages/registry/src/replica_follower.cc
@@ -14,12 +14,16 @@
 constexpr size_t kMaxRemoved = 10000;
 // Everything: one watch then covers the configuration and the directory.
 constexpr char kWholeStore[] = "";
+// Below the prefix of the directory, and never written: a list of it tells the
+// store's revision and nothing else.
+constexpr char kNoKey[] = "none/";
 
 }  // namespace
 
 ReplicaFollower::ReplicaFollower(Store& store, Scheduler& scheduler,
                                  RandomSource& random, EventLog& log,
                                  ReplicaKeys keys, FollowerTimes times,
+                                 ReadAllowance allowance,
                                  ReplicaListener& listener)
     : store_(store),
       scheduler_(scheduler),
@@ -27,6 +31,7 @@
       keys_(std::move(keys)),
       times_(times),
       backoff_(random, times.first_retry, times.last_retry),
+      allowance_(allowance),
       listener_(listener) {}
 
 bool ReplicaFollower::OfDirectory(const std::string& key) const {
@@ -39,13 +44,15 @@
 }
 
 Duration ReplicaFollower::GatherTime() const {
-  return scheduler_.Now() - started_ < times_.start ? times_.gather_at_start
-                                                    : times_.gather;
+  const bool starting = scheduler_.Now() - started_ < times_.start;
+  return std::max(starting ? times_.gather_at_start : times_.gather,
+                  allowance_.Period(followers_));
 }
 
 void ReplicaFollower::List() {
   list_needed_ = true;
-  store_.List(kWholeStore, [this](auto list) {
+  const TimePoint began = scheduler_.Now();
+  store_.List(kWholeStore, [this, began](auto list) {
     if (!list) {
       OnFailure(list.error());
       return;
@@ -53,6 +60,7 @@
     list_needed_ = false;
     OnListed(*list);
     OnAnswer();
+    listener_.OnRead(began);
     Watch();
   });
 }
@@ -89,10 +97,7 @@
       OnFailure(changes.error());
       return;
     }
-    for (const schema::KeyValue& item : changes->items) {
-      Take(item);
-    }
-    directory_revision_ = std::max(directory_revision_, changes->revision);
+    TakeChanges(*changes);
     OnAnswer();
     if (changes->items.empty()) {
       Watch();
@@ -102,6 +107,51 @@
   });
 }
 
+void ReplicaFollower::TakeChanges(const schema::KeyValueList& changes) {
+  for (const schema::KeyValue& item : changes.items) Take(item);
+  directory_revision_ = std::max(directory_revision_, changes.revision);
+}
+
+void ReplicaFollower::Refresh() {
+  const TimePoint began = scheduler_.Now();
+  const Duration period =
+      std::max(times_.refresh, allowance_.Period(followers_));
+  if (refreshing_ || !loaded() || began - last_refresh_ < period) return;
+  refreshing_ = true;
+  last_refresh_ = began;
+  store_.List(keys_.directory_prefix + kNoKey, [this, began](auto list) {
+    if (!list) {
+      EndRefresh(list.error());
+    } else if (list->revision > directory_revision_) {
+      CatchUp(began, list->revision);
+    } else {
+      refreshing_ = false;
+      listener_.OnRead(began);
+    }
+  });
+}
+
+void ReplicaFollower::CatchUp(TimePoint began, int64_t revision) {
+  store_.Watch(kWholeStore, directory_revision_, Duration::zero(),
+               [this, began, revision](auto changes) {
+                 if (!changes) {
+                   EndRefresh(changes.error());
+                   return;
+                 }
+                 TakeChanges(*changes);
+                 refreshing_ = false;
+                 if (directory_revision_ >= revision) listener_.OnRead(began);
+               });
+}
+
+void ReplicaFollower::EndRefresh(StoreError error) {
+  // The watch, which goes on, finds out whether the store is lost.
+  refreshing_ = false;
+  LogLine(log_, EventKind::kDependency, kPart, "refresh-failed")
+      .Add("reason", Describe(error))
+      .Add("revision", directory_revision_);
+}
+
 void ReplicaFollower::Take(const schema::KeyValue& item) {
   if (item.key == keys_.configuration) {
     if (!item.deleted) TakeConfiguration(item.value, item.version);
--- a/packages/registry/tests/registry_test.cc
+++ b/packages/registry/tests/registry_test.cc
@@ -195,11 +195,13 @@
     revisions[key] = revision;
     entries.erase(key);
   }
+  void OnRead(TimePoint as_of) override { read_as_of = as_of; }
 
   std::string configuration;
   int64_t configuration_revision = 0;
   std::map<std::string, std::string> entries;
   std::map<std::string, int64_t> revisions;
+  TimePoint read_as_of{};
 };
 
 const ReplicaKeys kKeys{"op/config", "dir/"};
@@ -219,8 +221,9 @@
   }
 
   Recorder recorder;
-  ReplicaFollower follower{store, scheduler,       random,  log,
-                           kKeys, FollowerTimes(), recorder};
+  ReplicaFollower follower{
+      store,           scheduler,           random,  log, kKeys,
+      FollowerTimes(), ReadAllowance(2000), recorder};
 };
 
 TEST_CASE("A follower reads what stands and sees what changes") {
@@ -260,6 +263,86 @@
   CHECK(calls <= 5);  // 2.8 s, at most one call a gather time.
 }
 
+/** A follower past its start, whose watch has just told of a change. */
+struct Gathering : Following {
+  Gathering() : Following("v1") {
+    follower.Start();
+    scheduler.RunFor(seconds(6));
+    memory.Create("dir/a", "1", kNoLease);
+    scheduler.RunFor(milliseconds(100));
+  }
+};
+
+TEST_CASE("A refresh tells at once what the watch would tell later") {
+  Gathering f;
+  f.memory.Create("dir/b", "2", kNoLease);
+  f.scheduler.RunFor(milliseconds(100));
+  CHECK(f.recorder.entries.count("dir/b") == 0);  // Gathered with others.
+  const TimePoint asked = f.scheduler.Now();
+  CHECK(f.recorder.read_as_of < asked);
+  f.follower.Refresh();
+  f.scheduler.RunFor(milliseconds(30));
+  CHECK(f.recorder.entries.count("dir/b") == 1);
+  CHECK(f.recorder.read_as_of == asked);
+}
+
+TEST_CASE("A refresh of a store that did not change costs one call") {
+  Gathering f;
+  const int before = f.store.calls;
+  const TimePoint asked = f.scheduler.Now();
+  f.follower.Refresh();
+  f.scheduler.RunFor(milliseconds(30));
+  CHECK(f.recorder.read_as_of == asked);
+  CHECK(f.store.calls == before + 1);
+}
+
+TEST_CASE("A refresh that did not get the newest changes proves nothing") {
+  Gathering f;
+  f.store.hides_changes = true;
+  f.memory.Create("dir/b", "2", kNoLease);
+  const TimePoint asked = f.scheduler.Now();
+  f.follower.Refresh();
+  f.scheduler.RunFor(milliseconds(30));
+  CHECK(f.recorder.read_as_of < asked);
+  f.store.hides_changes = false;
+  f.follower.Refresh();
+  f.scheduler.RunFor(milliseconds(30));
+  CHECK(f.recorder.read_as_of > asked);
+  CHECK(f.recorder.entries.count("dir/b") == 1);
+}
+
+TEST_CASE("A refresh that fails proves nothing and may be repeated") {
+  Gathering f;
+  const TimePoint asked = f.scheduler.Now();
+  f.store.fate = [] { return Fate::kNotTaken; };
+  f.follower.Refresh();
+  f.scheduler.RunFor(milliseconds(30));
+  CHECK(f.recorder.read_as_of < asked);
+  f.store.fate = [] { return Fate::kAnswered; };
+  f.follower.Refresh();
+  f.scheduler.RunFor(milliseconds(30));
+  CHECK(f.recorder.read_as_of > asked);
+}
+
+TEST_CASE("Refreshes of a large fleet stay within the store's rate") {
+  constexpr size_t kFleet = 830;
+  constexpr int kSeconds = 20;
+  Following f("v1");
+  f.follower.SetFollowers(kFleet);
+  f.follower.Start();
+  f.scheduler.RunFor(seconds(6));
+  const int before = f.store.calls;
+  for (int i = 0; i < kSeconds * 100; ++i) {
+    f.follower.Refresh();
+    f.scheduler.RunFor(milliseconds(10));
+  }
+  constexpr int kWatches = kSeconds / 2 + 1;
+  const int refreshes = f.store.calls - before - kWatches;
+  CHECK(refreshes > 0);
+  // A quarter of 2,000 reads a second, for the whole fleet.
+  CHECK(refreshes * static_cast<int>(kFleet) <= 500 * (kSeconds + 2));
+}
+
 TEST_CASE("A change is known soon after a silent store answers again") {
   // Whenever in a watch the silence ends, and however long it was.
   for (const int silence_ms : {300, 1500, 3900, 4500, 7200}) {
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -29,6 +29,11 @@
   virtual void ToAgent(const Endpoint& agent, std::string_view packet) = 0;
   virtual void ToClient(const Endpoint& client, std::string_view packet) = 0;
   virtual void Query(const Endpoint& agent, const schema::FlowQuery& query) = 0;
+  /**
+   * Read from the store what it lists now, and call
+   * FlowBalancer::OnDirectoryRead; asked again while a flow waits for it.
+   */
+  virtual void RefreshDirectory() = 0;
 };
 
 /** Counts since the start of the process. */
@@ -84,6 +89,10 @@
   void Apply(TimePoint now, RouteTable routes);
   /** Agents that the directory has dropped. */
   void OnAgentsGone(TimePoint now, const std::vector<Endpoint>& agents);
+  /** The directory holds all that the store listed at `as_of`. */
+  void OnDirectoryRead(TimePoint now, TimePoint as_of) {
+    prober_.OnDirectoryRead(now, as_of);
+  }
   /** Retries and forgets; call it often while `busy`. */
   void OnTick(TimePoint now);
   /**
@@ -155,6 +164,7 @@
   void Offer(TimePoint now, AgentView& agent, std::string packet) override;
   void OnNobodyHolds(TimePoint now, const Flow& flow,
                      uint32_t acknowledged) override;
+  void RefreshDirectory() override { output_.RefreshDirectory(); }
   void RetryPlacements(TimePoint now);
   void ForgetOldFlows(TimePoint now);
 
--- a/packages/steering/include/steering/flow_prober.h
+++ b/packages/steering/include/steering/flow_prober.h
@@ -26,13 +26,17 @@
   /** Every target that could hold the flow has said that it does not. */
   virtual void OnNobodyHolds(TimePoint now, const Flow& flow,
                              uint32_t acknowledged) = 0;
+  /** Find out what the store lists now; asked again while it is needed. */
+  virtual void RefreshDirectory() = 0;
 };
 
 /**
  * Looks for the target that holds a flow. It asks the most likely agents first
  * and further ones when those do not answer or deny it; an agent that cannot
  * tell is offered the flow's packets, so that its target decides. It concludes
- * that nobody holds the flow only from the answers of all.
+ * that nobody holds the flow only from the answers of all that were listed when
+ * the search began: a flow may be at a target that was listed just before, as
+ * another balancer may have known of it sooner.
  */
 class FlowProber {
  public:
@@ -68,6 +72,10 @@
   void OnUnsure(TimePoint now, const Flow& flow, const Endpoint& agent);
   /** An agent does not hold the flow. */
   void OnNotHeld(TimePoint now, const Flow& flow, const Endpoint& agent);
+  /**
+   * The directory holds all that the store listed at `as_of`, or later.
+   */
+  void OnDirectoryRead(TimePoint now, TimePoint as_of);
   /** Starts due rounds. */
   void OnTick(TimePoint now);
 
@@ -90,10 +98,19 @@
   std::vector<AgentView*> NextAgents(const Flow& flow,
                                      const SearchState& search);
   bool AllDenied(const SearchState& search);
+  /**
+   * Concludes the search if all agents have denied the flow.
+   * @return whether the search is over
+   */
+  bool Conclude(TimePoint now, const Flow& flow);
+  /** Asks further agents if all that were asked have denied the flow. */
+  void Continue(TimePoint now, const Flow& flow, SearchState& search);
 
   std::string zone_;
   TargetDirectory& directory_;
   FlowProberOutput& output_;
+  /** Time at which the store listed no more than the directory holds. */
+  TimePoint directory_as_of_{};
   std::unordered_map<Flow, SearchState> searches_;
 };
 
--- a/packages/steering/src/flow_prober.cc
+++ b/packages/steering/src/flow_prober.cc
@@ -115,12 +115,25 @@
   if (it == searches_.end()) return;
   SearchState& search = it->second;
   search.denied.insert(agent);
-  if (AllDenied(search)) {
-    const uint32_t acknowledged = search.acknowledged;
-    searches_.erase(it);
-    output_.OnNobodyHolds(now, flow, acknowledged);
-    return;
+  if (!Conclude(now, flow)) Continue(now, flow, search);
+}
+
+bool FlowProber::Conclude(TimePoint now, const Flow& flow) {
+  const auto it = searches_.find(flow);
+  const SearchState& search = it->second;
+  if (!AllDenied(search)) return false;
+  if (directory_as_of_ < search.started) {
+    output_.RefreshDirectory();
+    return false;
   }
+  const uint32_t acknowledged = search.acknowledged;
+  searches_.erase(it);
+  output_.OnNobodyHolds(now, flow, acknowledged);
+  return true;
+}
+
+void FlowProber::Continue(TimePoint now, const Flow& flow,
+                          SearchState& search) {
   const bool round_over = std::all_of(search.asked.begin(), search.asked.end(),
                                       [&search](const Endpoint& asked) {
                                         return search.denied.count(asked) != 0;
@@ -128,6 +141,16 @@
   if (round_over) AskRound(now, flow, search, NextAgents(flow, search));
 }
 
+void FlowProber::OnDirectoryRead(TimePoint now, TimePoint as_of) {
+  if (as_of <= directory_as_of_) return;
+  directory_as_of_ = as_of;
+  std::vector<Flow> flows;
+  for (const auto& [flow, search] : searches_) flows.push_back(flow);
+  for (const Flow& flow : flows) {
+    if (!Conclude(now, flow)) Continue(now, flow, searches_.at(flow));
+  }
+}
+
 bool FlowProber::AllDenied(const SearchState& search) {
   if (search.denied.size() < directory_.size()) return false;
   for (const AgentView* view : directory_.All()) {
@@ -145,6 +168,7 @@
     }
     if (now >= search.next_round) {
       AskRound(now, it->first, search, NextAgents(it->first, search));
+      if (AllDenied(search)) output_.RefreshDirectory();
     }
     ++it;
   }
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -564,6 +564,23 @@
   CHECK(Resets(again) == 1);
 }
 
+TEST_CASE("A flow at a target that was listed just now is not reset") {
+  SteeringWorld world(2, 3, 22);
+  // Nobody lists target 2 any more.
+  world.RemoveEntry(2);
+  world.RunFor(seconds(3));
+  // It is back, and only one balancer has seen so.
+  world.behind = {1};
+  world.Announce(2);
+  for (int i = 0; i < 30; ++i) world.AddClient(true);
+  CHECK(RunRounds(world, 1, milliseconds(250)) == 30);
+  CHECK(world.targets[2]->accepted_flows > 0);
+  world.KillBalancer(0);
+  CHECK(RunRounds(world, 2, milliseconds(250)) == 60);
+  CHECK(Resets(world) == 0);
+  CHECK(world.directory_reads > 0);
+}
+
 TEST_CASE("A draining target gets no new flow and keeps those it has") {
   SteeringWorld world(3, 3, 6);
   for (int i = 0; i < 12; ++i) world.AddClient(true);
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -37,10 +37,12 @@
   void ToAgent(const Endpoint& agent, std::string_view packet) override;
   void ToClient(const Endpoint& client, std::string_view packet) override;
   void Query(const Endpoint& agent, const schema::FlowQuery& query) override;
+  void RefreshDirectory() override { follower_.Refresh(); }
   void OnConfiguration(const std::string& document, int64_t revision) override;
   void OnEntry(const std::string& key, const std::string& value,
                int64_t revision) override;
   void OnEntryRemoved(const std::string& key, int64_t revision) override;
+  void OnRead(TimePoint as_of) override;
 
   tl::expected<void, NetError> OpenSockets();
   void OnControl(const Endpoint& from, std::string_view bytes);
--- a/packages/steering_daemon/include/steering_daemon/steering_settings.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_settings.h
@@ -39,6 +39,8 @@
   Duration flow_lifetime = std::chrono::seconds(60);
   /** Time from SIGTERM until the process is killed. */
   Duration stop_grace = std::chrono::seconds(6);
+  /** Reading calls a second that the store takes from the whole system. */
+  double store_reads_per_second = 2000;
   /** Shortest lease that the store grants. */
   Duration shortest_lease = std::chrono::seconds(1);
 };
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -36,7 +36,8 @@
       balancer_(settings_.zone, parts.codec, directory_, *placement_, *this,
                 parts.log),
       follower_(parts.store, parts.scheduler, parts.random, parts.log,
-                Keys(parts.decoder), FollowerTimes(), *this),
+                Keys(parts.decoder), FollowerTimes(),
+                ReadAllowance(settings_.store_reads_per_second), *this),
       exchange_(parts.loop, parts.random, parts.log, follower_,
                 [this](const Endpoint& control,
                        const schema::ReplicaVersion& version) {
@@ -201,6 +202,11 @@
   directory_.Remove(parts_.loop.Now(), key, revision);
 }
 
+void BalancerProcess::OnRead(TimePoint as_of) {
+  balancer_.OnDirectoryRead(parts_.loop.Now(), as_of);
+  Flush();
+}
+
 tl::expected<void, std::string> BalancerProcess::OnAnnouncement(
     const Endpoint& /*address*/, const TargetAnnouncement& /*announcement*/) {
   return tl::unexpected(
@@ -262,6 +268,7 @@
 
 void BalancerProcess::SlowTick() {
   const TimePoint now = parts_.loop.Now();
+  follower_.SetFollowers(exchange_.peer_count() + 1);
   balancer_.SetCurrent(follower_.current());
   const auto gone = directory_.Expire(now, follower_.current());
   if (!gone.empty()) balancer_.OnAgentsGone(now, gone);
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -23,6 +23,10 @@
   std::function<Fate()> fate = [] { return Fate::kAnswered; };
   /** Connections stand, but nothing is answered. */
   bool silent = false;
+  /** Watches are answered, but no change is told. */
+  bool hides_changes = false;
+  /** Calls made, whatever became of them; renewals too. */
+  int calls = 0;
   /** Watches that wait now get nothing any more; new calls do. */
   void SilenceWaiting() { ++silenced_; }
   Duration delay = std::chrono::milliseconds(2);
@@ -71,6 +75,7 @@
   }
   void Watch(const std::string& prefix, int64_t revision, Duration wait,
              Done<schema::KeyValueList> done) override {
+    ++calls;
     if (fate() != Fate::kAnswered) {
       scheduler_.After(
           delay, [done] { done(tl::unexpected(StoreError::kUnavailable)); });
@@ -82,6 +87,7 @@
  private:
   template <typename T>
   void Call(std::function<tl::expected<T, StoreError>()> action, Done<T> done) {
+    ++calls;
     switch (silent ? Fate::kReplyLost : fate()) {
       case Fate::kAnswered:
         scheduler_.After(delay, [action, done] { done(action()); });
@@ -111,7 +117,11 @@
       done(tl::unexpected(StoreError::kHistoryGone));
       return;
     }
-    const auto changes = memory_.ChangesAfter(prefix, revision);
+    auto changes = memory_.ChangesAfter(prefix, revision);
+    if (hides_changes) {
+      changes.items.clear();
+      changes.revision = revision;
+    }
     if (!changes.items.empty() || scheduler_.Now() >= until) {
       done(changes);
       return;
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -8,6 +8,8 @@
 // One way, as the users' sites have it.
 constexpr Duration kClientDelay = std::chrono::milliseconds(1);
 constexpr Duration kHopDelay = std::chrono::microseconds(500);
+// A call to the store and back.
+constexpr Duration kStoreTime = std::chrono::milliseconds(5);
 constexpr Duration kLocalDelay = std::chrono::microseconds(50);
 constexpr Duration kTickPeriod = std::chrono::milliseconds(10);
 // How clients send again.
@@ -41,9 +43,13 @@
     world.ToClient(std::string(packet));
   }
   void Query(const Endpoint& agent, const schema::FlowQuery& query) override;
+  void RefreshDirectory() override;
+  /** Reads the entries that the store lists. */
+  void ReadDirectory();
 
   SteeringWorld& world;
   size_t index;
+  bool reading_directory = false;
   TargetDirectory directory;
   std::unique_ptr<PlacementPolicy> placement;
   FlowBalancer flows;
@@ -99,6 +105,26 @@
   });
 }
 
+void SteeringWorld::Balancer::RefreshDirectory() {
+  if (reading_directory) return;
+  reading_directory = true;
+  ++world.directory_reads;
+  const TimePoint began = world.scheduler.Now();
+  world.Deliver(kStoreTime, [this, began] {
+    reading_directory = false;
+    ReadDirectory();
+    flows.OnDirectoryRead(world.scheduler.Now(), began);
+  });
+}
+
+void SteeringWorld::Balancer::ReadDirectory() {
+  for (const auto& [target, revision] : world.listed_) {
+    directory.Put(world.scheduler.Now(), std::to_string(target),
+                  world.Record(target, world.draining_.count(target) != 0),
+                  revision);
+  }
+}
+
 void SteeringWorld::Agent::ToBalancer(const Endpoint& balancer,
                                       std::string_view packet) {
   const size_t to = balancer.ip() - BalancerAddress(0).ip();
@@ -181,11 +207,8 @@
 
 void SteeringWorld::StartBalancer(size_t i) {
   balancers_[i] = std::make_unique<Balancer>(*this, i);
-  for (size_t k = 0; k < agents_.size(); ++k) {
-    balancers_[i]->directory.Put(scheduler.Now(), std::to_string(k),
-                                 Record(k, draining_.count(k) != 0),
-                                 ++revision_);
-  }
+  balancers_[i]->ReadDirectory();
+  balancers_[i]->flows.OnDirectoryRead(scheduler.Now(), scheduler.Now());
 }
 
 void SteeringWorld::KillAgent(size_t i) {
@@ -222,11 +245,15 @@
   if (agents_[i] != nullptr) {
     agents_[i]->flows.OnAnnouncement(scheduler.Now(), announcement);
   }
-  const int64_t revision = ++revision_;
+  List(i, draining);
+}
+
+void SteeringWorld::List(size_t i, bool draining) {
+  listed_[i] = ++revision_;
   for (auto& balancer : balancers_) {
-    if (balancer == nullptr) continue;
+    if (balancer == nullptr || behind.count(balancer->index) != 0) continue;
     balancer->directory.Put(scheduler.Now(), std::to_string(i),
-                            Record(i, draining), revision);
+                            Record(i, draining), revision_);
   }
 }
 
@@ -237,6 +264,7 @@
 
 void SteeringWorld::RemoveEntry(size_t i) {
   const int64_t revision = ++revision_;
+  listed_.erase(i);
   for (auto& balancer : balancers_) {
     if (balancer == nullptr) continue;
     balancer->directory.Remove(scheduler.Now(), std::to_string(i), revision);
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -144,6 +144,8 @@
   /** The same as the first announcement of a target that has just started. */
   void AnnounceStart(size_t i);
   void RemoveEntry(size_t i);
+  /** The store lists the target; balancers see it as their watches tell. */
+  void List(size_t i, bool draining = false);
   VirtualFlowClient& AddClient(bool keeps_flow);
 
   void FromClient(std::string packet);
@@ -164,6 +166,10 @@
   double loss = 0;
   /** Agents' reports are lost meanwhile. */
   bool lose_reports = false;
+  /** Balancers whose watch has not told them of changes yet. */
+  std::set<size_t> behind;
+  /** Times at which a balancer read the directory anew. */
+  int directory_reads = 0;
   RouteTable routes;
   std::vector<std::unique_ptr<VirtualTarget>> targets;
   std::vector<std::unique_ptr<VirtualFlowClient>> clients;
@@ -199,6 +205,8 @@
   int64_t revision_ = 1;
   std::map<size_t, int64_t> sequences_;
   std::set<size_t> draining_;
+  /** Revisions of the entries that the store lists. */
+  std::map<size_t, int64_t> listed_;
 };
 
 }  // namespace sesamesaddle
