Targets of the own region are preferred; another region costs more than a zone

Cause: placement knew "my zone" and "elsewhere". On a deployment of two regions 20 ms apart, flows went to the other region for a third of a queued request, and each then paid two round trips of 40 ms.

Change: Topology tells zone, region and beyond, from the zones table of the settings; a target in another region costs as much as three queued requests a slot; a flow's candidates are two of the zone and two of the region, and all targets are compared only when these are over their slots.

Ruled out: never leaving the region (a region whose targets are full would refuse while others idle; test "Targets of the own region are used until they are far busier").

One region: nothing changes.

--- a/benchmark/steering_benchmark.cc
+++ b/benchmark/steering_benchmark.cc
@@ -45,8 +45,8 @@
 /** A balancer that knows `agents` targets of one service. */
 struct Fixture {
   explicit Fixture(int64_t agents)
-      : placement("here", directory),
-        balancer("here", codec, directory, placement, output, log) {
+      : placement(Topology("here"), directory),
+        balancer(Topology("here"), codec, directory, placement, output, log) {
     RouteTable routes;
     routes.version = 1;
     routes.routes[kRoute].services = {{"orders", 1}};
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -75,7 +75,7 @@
   /** Targets that one SYN is sent to at most, without refusals. */
   static constexpr size_t kMaxTargetsPerSyn = 3;
 
-  FlowBalancer(std::string zone, const PacketCodec& codec,
+  FlowBalancer(Topology topology, const PacketCodec& codec,
                TargetDirectory& directory, PlacementPolicy& placement,
                FlowBalancerOutput& output, EventLog& log);
 
--- a/packages/steering/include/steering/flow_prober.h
+++ b/packages/steering/include/steering/flow_prober.h
@@ -11,6 +11,7 @@
 #include "core/time.h"
 #include "steering/packet.h"
 #include "steering/target_directory.h"
+#include "steering/topology.h"
 
 namespace sesamesaddle {
 
@@ -49,9 +50,11 @@
   /** A search without an end is given up; the client repeats its packet. */
   static constexpr Duration kSearchLimit = std::chrono::seconds(2);
 
-  FlowProber(std::string zone, TargetDirectory& directory,
+  FlowProber(Topology topology, TargetDirectory& directory,
              FlowProberOutput& output)
-      : zone_(std::move(zone)), directory_(directory), output_(output) {}
+      : topology_(std::move(topology)),
+        directory_(directory),
+        output_(output) {}
 
   /**
    * Starts a search, or adds a packet to one in progress.
@@ -106,7 +109,7 @@
   /** Asks further agents if all that were asked have denied the flow. */
   void Continue(TimePoint now, const Flow& flow, SearchState& search);
 
-  std::string zone_;
+  Topology topology_;
   TargetDirectory& directory_;
   FlowProberOutput& output_;
   /** Time at which the store listed no more than the directory holds. */
--- a/packages/steering/include/steering/placement.h
+++ b/packages/steering/include/steering/placement.h
@@ -8,6 +8,7 @@
 #include "core/endpoint.h"
 #include "core/time.h"
 #include "steering/target_directory.h"
+#include "steering/topology.h"
 
 namespace sesamesaddle {
 
@@ -45,9 +46,9 @@
  */
 class LeastWaitPlacement : public PlacementPolicy {
  public:
-  /** @param zone  the balancer's zone; targets there are preferred. */
-  LeastWaitPlacement(std::string zone, const TargetDirectory& directory)
-      : zone_(std::move(zone)), directory_(directory) {}
+  /** @param topology  where the balancer is; near targets are preferred */
+  LeastWaitPlacement(Topology topology, const TargetDirectory& directory)
+      : topology_(std::move(topology)), directory_(directory) {}
 
   AgentView* Choose(TimePoint now, const PlacementRequest& request,
                     const std::vector<AgentView*>& agents) override;
@@ -68,7 +69,7 @@
                       const std::vector<AgentView*>& agents) const;
   double Cost(TimePoint now, const AgentView& view, double usual_ms) const;
 
-  std::string zone_;
+  Topology topology_;
   const TargetDirectory& directory_;
 };
 
@@ -76,14 +77,15 @@
 
 /** @param directory  outlives the policy */
 std::unique_ptr<PlacementPolicy> MakePlacement(
-    PlacementKind kind, std::string zone, const TargetDirectory& directory);
+    PlacementKind kind, Topology topology, const TargetDirectory& directory);
 
 /**
  * The agents most likely to hold the flow, best first: the two highest hashes
- * in `zone` and the two highest of all.
+ * of the own zone and the two highest of the own region, or of all if none of
+ * them is in the region.
  */
 std::vector<AgentView*> FlowCandidates(const Flow& flow,
-                                       const std::string& zone,
+                                       const Topology& topology,
                                        const std::vector<AgentView*>& agents);
 
 }  // namespace sesamesaddle
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-FlowBalancer::FlowBalancer(std::string zone, const PacketCodec& codec,
+FlowBalancer::FlowBalancer(Topology topology, const PacketCodec& codec,
                            TargetDirectory& directory,
                            PlacementPolicy& placement,
                            FlowBalancerOutput& output, EventLog& log)
@@ -36,7 +36,7 @@
       placement_(placement),
       output_(output),
       log_(log),
-      prober_(std::move(zone), directory, *this) {}
+      prober_(std::move(topology), directory, *this) {}
 
 void FlowBalancer::OnClientPacket(TimePoint now, char* packet, size_t size) {
   ++counters_.packets;
--- a/packages/steering/src/flow_prober.cc
+++ b/packages/steering/src/flow_prober.cc
@@ -41,7 +41,7 @@
   if (first.empty()) {
     for (const std::string& service : search.services) {
       for (AgentView* view :
-           FlowCandidates(flow, zone_, directory_.OfService(service))) {
+           FlowCandidates(flow, topology_, directory_.OfService(service))) {
         if (search.denied.count(view->agent) == 0) first.push_back(view);
       }
     }
--- a/packages/steering/src/placement.cc
+++ b/packages/steering/src/placement.cc
@@ -12,6 +12,9 @@
 // Queued work per slot that outweighs staying in the zone; a hop between zones
 // takes well under a millisecond, a place in a queue tens of them.
 constexpr double kOtherZoneCost = 0.34;
+// The same for the region: opening a flow and a request take two round trips of
+// 24 to 40 ms there, as much as two or three places in a queue.
+constexpr double kOtherRegionCost = 3.0;
 // Of so many targets one at most is set aside.
 constexpr size_t kLeastServing = 3;
 // A target this much above its slots gives way to any other of the service.
@@ -38,6 +41,18 @@
   if (best.size() > limit) best.pop_back();
 }
 
+double CostOf(Distance distance) {
+  switch (distance) {
+    case Distance::kSameZone:
+      return 0;
+    case Distance::kSameRegion:
+      return kOtherZoneCost;
+    case Distance::kOtherRegion:
+      break;
+  }
+  return kOtherRegionCost;
+}
+
 double Milliseconds(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -59,20 +74,23 @@
 }  // namespace
 
 std::vector<AgentView*> FlowCandidates(const Flow& flow,
-                                       const std::string& zone,
+                                       const Topology& topology,
                                        const std::vector<AgentView*>& agents) {
-  std::vector<std::pair<uint64_t, AgentView*>> near;
+  std::vector<std::pair<uint64_t, AgentView*>> in_zone;
+  std::vector<std::pair<uint64_t, AgentView*>> in_region;
   std::vector<std::pair<uint64_t, AgentView*>> all;
   for (AgentView* view : agents) {
     const uint64_t weight = Weight(flow, *view);
+    const Distance distance = topology.DistanceTo(view->record.zone);
     KeepHighest(all, weight, view, kCandidatesPerScope);
-    if (view->record.zone == zone) {
-      KeepHighest(near, weight, view, kCandidatesPerScope);
-    }
+    if (distance == Distance::kOtherRegion) continue;
+    KeepHighest(in_region, weight, view, kCandidatesPerScope);
+    if (distance == Distance::kSameRegion) continue;
+    KeepHighest(in_zone, weight, view, kCandidatesPerScope);
   }
   std::vector<AgentView*> candidates;
-  for (const auto& [weight, view] : near) candidates.push_back(view);
-  for (const auto& [weight, view] : all) {
+  for (const auto& [weight, view] : in_zone) candidates.push_back(view);
+  for (const auto& [weight, view] : in_region.empty() ? all : in_region) {
     if (std::find(candidates.begin(), candidates.end(), view) ==
         candidates.end()) {
       candidates.push_back(view);
@@ -82,9 +100,9 @@
 }
 
 std::unique_ptr<PlacementPolicy> MakePlacement(
-    PlacementKind kind, std::string zone, const TargetDirectory& directory) {
+    PlacementKind kind, Topology topology, const TargetDirectory& directory) {
   if (kind == PlacementKind::kHash) return std::make_unique<HashPlacement>();
-  return std::make_unique<LeastWaitPlacement>(std::move(zone), directory);
+  return std::make_unique<LeastWaitPlacement>(std::move(topology), directory);
 }
 
 AgentView* HashPlacement::Choose(TimePoint /*now*/,
@@ -113,7 +131,7 @@
   if (MayBeSetAside(agents)) SetFailingAside(now, request, usable);
   const double usual_ms = UsualResponseMs(usable);
   AgentView* best = Cheapest(now, request, usual_ms,
-                             FlowCandidates(request.flow, zone_, usable));
+                             FlowCandidates(request.flow, topology_, usable));
   if (best == nullptr) return nullptr;
   if (Cost(now, *best, usual_ms) > kOverloadedCost) {
     best = Cheapest(now, request, usual_ms, usable);
@@ -168,8 +186,8 @@
     slowness = std::clamp(Milliseconds(view.response) / usual_ms,
                           kLeastSlowness, kMostSlowness);
   }
-  const double zone = view.record.zone == zone_ ? 0 : kOtherZoneCost;
-  return WorkPerSlot(now, view) * slowness + zone;
+  return WorkPerSlot(now, view) * slowness +
+         CostOf(topology_.DistanceTo(view.record.zone));
 }
 
 }  // namespace sesamesaddle
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -276,7 +276,7 @@
   TargetDirectory directory;
   directory.Put(kNow, "a", MakeRecord(1, "here"), 1);
   directory.Put(kNow, "b", MakeRecord(2, "there"), 2);
-  LeastWaitPlacement placement("here", directory);
+  LeastWaitPlacement placement(Topology("here"), directory);
   const auto choose = [&] {
     return placement.Choose(kNow, {MakeFlow(1), {}},
                             directory.OfService("orders"));
@@ -296,6 +296,49 @@
                          directory.OfService("orders")) == nullptr);
 }
 
+TEST_CASE("Targets of the own region are used until they are far busier") {
+  const Topology here("here",
+                      {{"here", "east"}, {"there", "east"}, {"far", "west"}});
+  TargetDirectory directory;
+  for (uint32_t i = 1; i <= 6; ++i) {
+    directory.Put(kNow, std::to_string(i),
+                  MakeRecord(i, i <= 2   ? "here"
+                                : i <= 4 ? "there"
+                                         : "far"),
+                  i);
+  }
+  LeastWaitPlacement placement(here, directory);
+  const auto in_far = [&](int work) {
+    for (uint32_t i = 1; i <= 4; ++i) {
+      schema::AgentReport report = MakeReport(i);
+      report.waiting = work;
+      directory.OnReport(kNow, report);
+    }
+    int count = 0;
+    for (uint32_t i = 0; i < 100; ++i) {
+      const AgentView* chosen = placement.Choose(kNow, {MakeFlow(i), {}},
+                                                 directory.OfService("orders"));
+      count += static_cast<int>(chosen->record.zone == "far");
+    }
+    return count;
+  };
+  CHECK(in_far(0) == 0);
+  CHECK(in_far(4) == 0);  // Two requests a slot still end sooner here.
+  CHECK(in_far(8) == 100);
+  // Who has no target in its region goes elsewhere.
+  const Topology alone("alone", {{"alone", "north"}, {"far", "west"}});
+  CHECK(FlowCandidates(MakeFlow(1), alone, {directory.Find(Endpoint(5, 8172))})
+            .size() == 1);
+}
+
+TEST_CASE("A zone without a known region is near") {
+  const Topology topology("a", {{"a", "east"}, {"b", "west"}});
+  CHECK(topology.DistanceTo("a") == Distance::kSameZone);
+  CHECK(topology.DistanceTo("b") == Distance::kOtherRegion);
+  CHECK(topology.DistanceTo("c") == Distance::kSameRegion);
+  CHECK(Topology("x").DistanceTo("b") == Distance::kSameRegion);
+}
+
 TEST_CASE("A target that answers slowly counts as busier") {
   TargetDirectory directory;
   for (uint32_t i = 1; i <= 3; ++i) {
@@ -305,7 +348,7 @@
     report.response_us = i == 1 ? 100000 : 20000;
     directory.OnReport(kNow, report);
   }
-  LeastWaitPlacement placement("z", directory);
+  LeastWaitPlacement placement(Topology("z"), directory);
   for (uint32_t i = 0; i < 100; ++i) {
     const AgentView* chosen = placement.Choose(kNow, {MakeFlow(i), {}},
                                                directory.OfService("orders"));
@@ -935,7 +978,7 @@
   schema::AgentReport report = MakeReport(1);
   report.__set_failing(true);
   directory.OnReport(kNow, report);
-  LeastWaitPlacement placement("z", directory);
+  LeastWaitPlacement placement(Topology("z"), directory);
   const auto times_chosen = [&](TimePoint now, bool runs_once) {
     int times = 0;
     for (uint32_t i = 0; i < 200; ++i) {
--- a/packages/steering_daemon/include/steering_daemon/steering_settings.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_settings.h
@@ -1,6 +1,7 @@
 #ifndef SESAMESADDLE_STEERING_DAEMON_STEERING_SETTINGS_H_
 #define SESAMESADDLE_STEERING_DAEMON_STEERING_SETTINGS_H_
 
+#include <map>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -14,6 +15,8 @@
 struct SteeringSettings {
   std::string name;
   std::string zone;
+  /** The region of each availability zone; may be empty. */
+  std::map<std::string, std::string> regions;
   /** The machine's address; peers are reached at `ports` there. */
   uint32_t ip = 0;
   /** Balancer: packets from clients. Agent: packets from balancers. */
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -25,6 +25,10 @@
   return {decoder.store_key(), DirectoryKeys::kPrefix};
 }
 
+Topology TopologyOf(const SteeringSettings& settings) {
+  return {settings.zone, settings.regions};
+}
+
 }  // namespace
 
 BalancerProcess::BalancerProcess(SteeringParts parts, SteeringSettings settings,
@@ -32,9 +36,9 @@
     : parts_(parts),
       settings_(std::move(settings)),
       settings_watcher_(parts.settings_source, parts.log),
-      placement_(MakePlacement(placement, settings_.zone, directory_)),
-      balancer_(settings_.zone, parts.codec, directory_, *placement_, *this,
-                parts.log),
+      placement_(MakePlacement(placement, TopologyOf(settings_), directory_)),
+      balancer_(TopologyOf(settings_), parts.codec, directory_, *placement_,
+                *this, parts.log),
       follower_(parts.store, parts.scheduler, parts.random, parts.log,
                 Keys(parts.decoder), FollowerTimes(),
                 ReadAllowance(settings_.store_reads_per_second), *this),
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -31,8 +31,9 @@
   Balancer(SteeringWorld& world, size_t index)
       : world(world),
         index(index),
-        placement(MakePlacement(world.placement_, "zone", directory)),
-        flows("zone", world.codec_, directory, *placement, *this, world.log_) {
+        placement(MakePlacement(world.placement_, Topology("zone"), directory)),
+        flows(Topology("zone"), world.codec_, directory, *placement, *this,
+              world.log_) {
     flows.SetCurrent(true);
     flows.Apply(world.scheduler.Now(), world.routes);
   }
