Balancers say how often agents report; silence is found by questions

Cause: an agent reported each 50 ms to every balancer that sent it packets. The reports could not be made rarer, as each packet of a flow counted as a question and three missing reports meant a silent agent.

Change: an agent answers SYNs and queries within 50 ms as before. Its load it tells besides as often as the balancer wants, which says so in the echo of packets it forwards (no bytes are added): what 150 reports a second leave for the agents it talks to (ReportPace). Packets of flows are no questions any more. A balancer asks when a client repeats a packet: the agent, and another one as a witness that answers arrive at all; three questions, 150 ms apart. If none is answered, the flows whose clients repeat and whose requests may be repeated are reset at once rather than at the client's next repetition, which may be 800 ms later.

--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -15,6 +15,7 @@
 #include "steering/answer_judge.h"
 #include "steering/handshake_time.h"
 #include "steering/packet.h"
+#include "steering/report_pace.h"
 #include "steering/syn_queue.h"
 #include "steering/target_health.h"
 #include "steering_types.h"
@@ -80,8 +81,8 @@
  */
 class FlowAgent {
  public:
-  /** Time between reports to a balancer that sends packets. */
-  static constexpr Duration kReportPeriod = std::chrono::milliseconds(50);
+  /** Shortest time between reports to a balancer, but for urgent ones. */
+  static constexpr Duration kReportPeriod = ReportPace::kShortest;
   /** Time in which urgent reports are gathered. */
   static constexpr Duration kUrgentReportDelay = std::chrono::milliseconds(2);
   /** A balancer that was silent for longer gets no reports. */
@@ -156,7 +157,11 @@
   struct BalancerView {
     TimePoint last_packet{};
     TimePoint last_report{};
+    /** Time between reports that answer nothing, as the balancer wants it. */
+    Duration report_period = kReportPeriod;
     bool packets_since_report = false;
+    /** A SYN came, whose balancer waits for word from here. */
+    bool owes_answer = false;
     bool urgent = false;
     int reported_waiting = 0;
     std::vector<Flow> accepted;
@@ -212,6 +217,7 @@
   uint32_t MakeEcho(const Endpoint& balancer, bool offered);
   Endpoint BalancerOfEcho(uint32_t echo, bool& offered) const;
   void SendReport(TimePoint now, const Endpoint& balancer, BalancerView& view);
+  bool ReportDue(TimePoint now, const BalancerView& view) const;
   void ForgetOldFlows(TimePoint now);
 
   FlowAgentOptions options_;
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -15,6 +16,7 @@
 #include "steering/flow_prober.h"
 #include "steering/packet.h"
 #include "steering/placement.h"
+#include "steering/report_pace.h"
 #include "steering/route_table.h"
 #include "steering/target_directory.h"
 #include "steering_types.h"
@@ -45,6 +47,9 @@
   int64_t refused_by_agents = 0;
   int64_t yielded_by_agents = 0;
   int64_t queries = 0;
+  /** Agents asked whether they are there, as a client repeated a packet. */
+  int64_t probes = 0;
+  int64_t reports = 0;
   int64_t offers = 0;
   int64_t searches = 0;
   int64_t resets_no_route = 0;
@@ -72,6 +77,11 @@
   static constexpr size_t kMaxFlowsPerQuery = 60;
   /** Waiting SYNs are looked at again this often. */
   static constexpr Duration kWaitStep = std::chrono::milliseconds(10);
+  /**
+   * A client that sends the same again after this time has got no
+   * acknowledgement; clients repeat after 200 ms.
+   */
+  static constexpr Duration kRepeated = std::chrono::milliseconds(150);
   /** Targets that one SYN is sent to at most, without refusals. */
   static constexpr size_t kMaxTargetsPerSyn = 3;
 
@@ -103,12 +113,15 @@
 
   const RouteTable& routes() const { return routes_; }
   const FlowBalancerCounters& counters() const { return counters_; }
+  /** Time between reports that it asks of each agent. */
+  Duration report_period() const { return pace_.period(); }
   size_t flow_count() const { return flows_.size(); }
   /** Sends the queries gathered so far, unless some were sent just now. */
   void FlushQueries(TimePoint now);
   /** Whether something waits for the next tick. */
   bool busy() const {
-    return !placing_.empty() || !prober_.idle() || !queries_.empty();
+    return !placing_.empty() || !prober_.idle() || !queries_.empty() ||
+           !suspects_.empty();
   }
 
  private:
@@ -119,8 +132,13 @@
     /** The client has closed it or given it up. */
     bool ended = false;
     bool runs_once = false;
+    /** The client repeats what it sent last. */
+    bool repeats = false;
     uint32_t acknowledged = 0;
     uint32_t syn_sequence = 0;
+    /** End of what the client has sent, and when it sent that first. */
+    uint32_t client_sequence = 0;
+    TimePoint client_went_on{};
     TimePoint last_packet{};
     /** All agents that got the SYN, while more than one did. */
     std::vector<Endpoint> tried;
@@ -153,8 +171,30 @@
   void Send(TimePoint now, const Flow& flow, const Route& route,
             AgentView& chosen, Placing& placing);
   std::vector<Flow> DuePlacements(TimePoint now) const;
-  void Forward(TimePoint now, AgentView& agent, char* packet, size_t size,
-               uint8_t priority = 0, SynTimes times = {});
+  /** A SYN; the agent answers it by a report. */
+  void ForwardSyn(TimePoint now, AgentView& agent, std::string packet,
+                  uint8_t priority, SynTimes times);
+  /** Any other packet, which needs no answer from the agent itself. */
+  void Forward(TimePoint now, AgentView& agent, char* packet, size_t size);
+  /** Asks whether the agent is there if the client repeats its packet. */
+  void NoteClientPacket(TimePoint now, const PacketHead& head, FlowEntry& entry,
+                        AgentView& agent);
+  /**
+   * Asks the agent for a report, and another one as a witness that this
+   * balancer hears answers at all.
+   */
+  void Probe(TimePoint now, AgentView& agent);
+  void AskForReport(TimePoint now, AgentView& agent);
+  /**
+   * Repeats probes until they are answered, or enough to conclude that the
+   * agent is unreachable.
+   */
+  void ProbeSuspects(TimePoint now);
+  /** Resets flows whose clients wait in vain and may ask elsewhere. */
+  void GiveUpFlowsOf(const AgentView& agent);
+  /** Resets a flow of an unreachable agent. */
+  void ResetSilent(const Flow& flow, const FlowEntry& entry);
+  void UpdatePace(TimePoint now);
   void StartSearch(TimePoint now, const Flow& flow, const PacketHead& head,
                    std::string_view packet, const std::vector<Endpoint>& likely,
                    const std::vector<Endpoint>& denied);
@@ -181,6 +221,11 @@
   /** Flows to ask each agent about. */
   std::map<Endpoint, std::vector<schema::FlowKey>> queries_;
   TimePoint last_queries_{};
+  /** Agents that were probed and not heard since. */
+  std::set<Endpoint> suspects_;
+  Endpoint last_witness_;
+  ReportPace pace_;
+  int64_t asked_before_ = 0;
   TimePoint next_sweep_{};
   FlowBalancerCounters counters_;
 };
--- a/packages/steering/include/steering/target_directory.h
+++ b/packages/steering/include/steering/target_directory.h
@@ -41,12 +41,14 @@
   TimePoint next_trial{};
   /** A SYN was refused; the agent is asked again after this time. */
   TimePoint refuses_until{};
-  /** The first packet sent since the agent was heard, if any was. */
+  /** When the agent was first asked since it was heard, if it was. */
   TimePoint unanswered_since{};
-  /** Packets since then that had, or have, the time for an answer each. */
+  /** Questions since then that had, or have, the time for an answer each. */
   int unanswered_probes = 0;
   TimePoint last_probe{};
-  TimePoint last_sent{};
+  TimePoint last_asked{};
+  /** Any packet of a flow was sent there. */
+  TimePoint last_packet{};
 };
 
 /** @return requests per slot: those reported, and those placed since. */
@@ -60,14 +62,17 @@
    * back (a lease may be lost while its holder lives: bound of the platform).
    */
   static constexpr Duration kUnlistedLimit = std::chrono::milliseconds(2500);
-  /** Agents report at least every 200 ms to those that send them packets. */
-  static constexpr Duration kAnswerTime = std::chrono::milliseconds(200);
-  /** Three reports that did not come. */
+  /**
+   * An agent answers a SYN or a query within 50 ms; twice that, and two hops
+   * between regions.
+   */
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(150);
+  /** Three answers that did not come. */
   static constexpr Duration kSilenceLimit = 3 * kAnswerTime;
   /** Reports may be lost: so many in a row mean that none were sent. */
   static constexpr int kUnansweredProbes = 3;
 
-  /** A silent agent that was sent nothing for so long is tried again. */
+  /** A silent agent that was asked nothing for so long is tried again. */
   static constexpr Duration kSilencePause = std::chrono::milliseconds(1000);
   /** Time between the flows with which a failing target is tried. */
   static constexpr Duration kTrialPeriod = std::chrono::milliseconds(1000);
@@ -87,20 +92,22 @@
   /** @return the agents of a service; valid until the next change. */
   const std::vector<AgentView*>& OfService(const std::string& service);
   std::vector<AgentView*> All();
+  /** @return the agent after that address, in a circle; null if none. */
+  AgentView* After(const Endpoint& agent);
   size_t size() const { return agents_.size(); }
 
   /** Takes a report, also of an agent whose entry is missing or older. */
   void OnReport(TimePoint now, const schema::AgentReport& report);
-  /** A packet was sent to the agent. */
-  static void NoteSent(TimePoint now, AgentView& view);
+  /** The agent was sent something that it answers by a report. */
+  static void NoteAsked(TimePoint now, AgentView& view);
 
   /**
-   * Whether packets to the agent have stayed unanswered for too long while
+   * Whether questions to the agent have stayed unanswered for too long while
    * another agent was heard: if none is, this process may be the one cut off.
    */
   bool Silent(TimePoint now, const AgentView& view) const;
   /**
-   * Whether the agent is silent and has had time to answer several packets:
+   * Whether the agent is silent and has had time to answer several questions:
    * certain enough to give up the flows that it holds.
    */
   bool Unreachable(TimePoint now, const AgentView& view) const;
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -54,7 +54,13 @@
     ++counters_.malformed;
     return;
   }
-  Touch(now, balancer).packets_since_report = true;
+  BalancerView& view = Touch(now, balancer);
+  view.packets_since_report = true;
+  if (head->syn) {
+    view.owes_answer = true;
+  } else if (head->tag.kind == HopKind::kDirect) {
+    view.report_period = ReportPace::Unpack(head->echo);
+  }
   const bool offered = head->tag.kind == HopKind::kOffer;
   if (head->tag.service_check != ServiceCheck(service())) {
     ++counters_.wrong_service;
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -92,16 +92,26 @@
   }
   for (auto it = balancers_.begin(); it != balancers_.end();) {
     BalancerView& view = it->second;
-    const bool due = view.packets_since_report || !view.accepted.empty() ||
-                     !view.held.empty() || !view.not_held.empty() ||
-                     !view.unsure.empty() || view.reported_waiting != waiting_;
-    const bool time = view.urgent || now - view.last_report >= kReportPeriod;
-    if (due && time) SendReport(now, it->first, view);
-    it = now - view.last_packet > kBalancerIdle ? balancers_.erase(it)
-                                                : std::next(it);
+    if (ReportDue(now, view)) SendReport(now, it->first, view);
+    // A balancer that comes back soon still gets no more than it wants.
+    const Duration kept = std::max(kBalancerIdle, view.report_period);
+    it = now - view.last_packet > kept ? balancers_.erase(it) : std::next(it);
   }
 }
 
+bool FlowAgent::ReportDue(TimePoint now, const BalancerView& view) const {
+  if (view.urgent) return true;
+  const Duration since = now - view.last_report;
+  const bool answers = view.owes_answer || !view.accepted.empty() ||
+                       !view.held.empty() || !view.not_held.empty() ||
+                       !view.unsure.empty();
+  if (answers) return since >= kReportPeriod;
+  const bool active = now - view.last_packet <= kBalancerIdle;
+  const bool news =
+      view.packets_since_report || view.reported_waiting != waiting_;
+  return active && news && since >= view.report_period;
+}
+
 void FlowAgent::SendReport(TimePoint now, const Endpoint& balancer,
                            BalancerView& view) {
   schema::AgentReport report;
@@ -122,6 +132,7 @@
   report.__set_failing(failing_);
   report.restarting = stopping_ && !health_.gone();
   view.packets_since_report = false;
+  view.owes_answer = false;
   view.urgent = false;
   view.last_report = now;
   view.reported_waiting = waiting_;
@@ -140,16 +151,12 @@
                                                   const Endpoint& balancer) {
   urgent_ = true;
   BalancerView& view = Touch(now, balancer);
-  view.packets_since_report = true;
   view.urgent = true;
   return view;
 }
 
 void FlowAgent::ReportToAll() {
-  for (auto& [endpoint, view] : balancers_) {
-    view.packets_since_report = true;
-    view.urgent = true;
-  }
+  for (auto& [endpoint, view] : balancers_) view.urgent = true;
   urgent_ = true;
 }
 
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -69,8 +69,7 @@
     if (known->second.accepted && agent != nullptr &&
         !directory_.Silent(now, *agent)) {
       // The answer to the first copy was lost.
-      std::string copy(packet);
-      Forward(now, *agent, copy.data(), copy.size());
+      ForwardSyn(now, *agent, std::string(packet), 0, {});
       return;
     }
   } else if (known != flows_.end()) {
@@ -165,12 +164,10 @@
       .Add("report_age", now - chosen.last_report)
       .Add("config", routes_.version)
       .Add("entry_revision", chosen.revision);
-  std::string packet = placing.packet;
   const int priority =
       std::clamp<int>(route.priority, 0, HopTag::kLowestPriority);
-  Forward(now, chosen, packet.data(), packet.size(),
-          static_cast<uint8_t>(priority),
-          {now - placing.arrived, route.target_latency});
+  ForwardSyn(now, chosen, placing.packet, static_cast<uint8_t>(priority),
+             {now - placing.arrived, route.target_latency});
 }
 
 void FlowBalancer::OnData(TimePoint now, const Flow& flow,
@@ -201,22 +198,108 @@
   if (directory_.Unreachable(now, *agent) && !agent->restarting &&
       !entry.runs_once && !head.reset) {
     // The client may repeat the request elsewhere while there is time.
-    ++counters_.resets_target_silent;
-    Reset(flow, head.acknowledged, "target-silent");
+    ResetSilent(flow, entry);
     flows_.erase(it);
     return;
   }
+  NoteClientPacket(now, head, entry, *agent);
   Forward(now, *agent, packet, size);
 }
 
-void FlowBalancer::Forward(TimePoint now, AgentView& agent, char* packet,
-                           size_t size, uint8_t priority, SynTimes times) {
-  codec_.SetHop(packet, {HopKind::kDirect, agent.service_check, priority},
+void FlowBalancer::ForwardSyn(TimePoint now, AgentView& agent,
+                              std::string packet, uint8_t priority,
+                              SynTimes times) {
+  codec_.SetHop(packet.data(),
+                {HopKind::kDirect, agent.service_check, priority},
                 times.Pack());
-  TargetDirectory::NoteSent(now, agent);
+  agent.last_packet = now;
+  TargetDirectory::NoteAsked(now, agent);
+  output_.ToAgent(agent.agent, packet);
+}
+
+void FlowBalancer::Forward(TimePoint now, AgentView& agent, char* packet,
+                           size_t size) {
+  codec_.SetHop(packet, {HopKind::kDirect, agent.service_check}, pace_.Pack());
+  agent.last_packet = now;
   output_.ToAgent(agent.agent, std::string_view(packet, size));
 }
 
+void FlowBalancer::NoteClientPacket(TimePoint now, const PacketHead& head,
+                                    FlowEntry& entry, AgentView& agent) {
+  if (head.payload_bytes == 0) return;
+  const uint32_t end = head.sequence + head.payload_bytes;
+  if (end != entry.client_sequence) {
+    entry.client_sequence = end;
+    entry.client_went_on = now;
+    entry.repeats = false;
+  } else if (now - entry.client_went_on >= kRepeated) {
+    entry.repeats = true;
+    if (suspects_.insert(agent.agent).second) Probe(now, agent);
+  }
+}
+
+void FlowBalancer::Probe(TimePoint now, AgentView& agent) {
+  ++counters_.probes;
+  AskForReport(now, agent);
+  AgentView* witness = directory_.After(last_witness_);
+  if (witness == &agent) witness = directory_.After(agent.agent);
+  last_witness_ = witness->agent;
+  if (witness != &agent) AskForReport(now, *witness);
+}
+
+void FlowBalancer::AskForReport(TimePoint now, AgentView& agent) {
+  TargetDirectory::NoteAsked(now, agent);
+  queries_[agent.agent];  // A query that names no flow.
+}
+
+void FlowBalancer::ProbeSuspects(TimePoint now) {
+  for (auto it = suspects_.begin(); it != suspects_.end();) {
+    AgentView* agent = directory_.Find(*it);
+    if (agent == nullptr || agent->unanswered_probes == 0) {
+      it = suspects_.erase(it);
+      continue;
+    }
+    if (directory_.Unreachable(now, *agent)) {
+      GiveUpFlowsOf(*agent);
+      it = suspects_.erase(it);
+      continue;
+    }
+    if (now - agent->last_probe >= TargetDirectory::kAnswerTime) {
+      Probe(now, *agent);
+    }
+    ++it;
+  }
+}
+
+void FlowBalancer::GiveUpFlowsOf(const AgentView& agent) {
+  if (agent.restarting) return;
+  for (auto it = flows_.begin(); it != flows_.end();) {
+    const FlowEntry& entry = it->second;
+    if (entry.agent != agent.agent || !entry.repeats || entry.runs_once) {
+      ++it;
+      continue;
+    }
+    ResetSilent(it->first, entry);
+    it = flows_.erase(it);
+  }
+}
+
+void FlowBalancer::ResetSilent(const Flow& flow, const FlowEntry& entry) {
+  ++counters_.resets_target_silent;
+  Reset(flow, entry.acknowledged, "target-silent");
+}
+
+void FlowBalancer::UpdatePace(TimePoint now) {
+  size_t active = 0;
+  for (const AgentView* agent : directory_.All()) {
+    if (now - agent->last_packet < kSweepPeriod) ++active;
+  }
+  const int64_t asked =
+      counters_.placed + counters_.placed_again + counters_.queries;
+  pace_.Update(active, asked - asked_before_);
+  asked_before_ = asked;
+}
+
 void FlowBalancer::StartSearch(TimePoint now, const Flow& flow,
                                const PacketHead& head, std::string_view packet,
                                const std::vector<Endpoint>& likely,
@@ -236,7 +319,7 @@
 }
 
 void FlowBalancer::Ask(TimePoint now, AgentView& agent, const Flow& flow) {
-  TargetDirectory::NoteSent(now, agent);
+  TargetDirectory::NoteAsked(now, agent);
   queries_[agent.agent].push_back(ToKey(flow));
 }
 
@@ -244,14 +327,16 @@
   if (queries_.empty() || now - last_queries_ < kQueryPeriod) return;
   last_queries_ = now;
   for (const auto& [agent, keys] : queries_) {
-    for (size_t i = 0; i < keys.size(); i += kMaxFlowsPerQuery) {
+    size_t sent = 0;
+    do {
       schema::FlowQuery query;
-      const size_t end = std::min(keys.size(), i + kMaxFlowsPerQuery);
-      query.flows.assign(keys.begin() + static_cast<ptrdiff_t>(i),
+      const size_t end = std::min(keys.size(), sent + kMaxFlowsPerQuery);
+      query.flows.assign(keys.begin() + static_cast<ptrdiff_t>(sent),
                          keys.begin() + static_cast<ptrdiff_t>(end));
       ++counters_.queries;
       output_.Query(agent, query);
-    }
+      sent = end;
+    } while (sent < keys.size());
   }
   queries_.clear();
 }
@@ -259,7 +344,7 @@
 void FlowBalancer::Offer(TimePoint now, AgentView& agent, std::string packet) {
   ++counters_.offers;
   codec_.SetHop(packet.data(), {HopKind::kOffer, agent.service_check}, 0);
-  TargetDirectory::NoteSent(now, agent);
+  TargetDirectory::NoteAsked(now, agent);
   output_.ToAgent(agent.agent, packet);
 }
 
@@ -345,6 +430,7 @@
 }
 
 void FlowBalancer::OnReport(TimePoint now, const schema::AgentReport& report) {
+  ++counters_.reports;
   AgentView* agent = directory_.Find(Endpoint::Unpack(report.agent));
   directory_.OnReport(now, report);
   if (agent == nullptr) return;
@@ -415,9 +501,11 @@
 void FlowBalancer::OnTick(TimePoint now) {
   prober_.OnTick(now);
   RetryPlacements(now);
+  ProbeSuspects(now);
   FlushQueries(now);
   if (now < next_sweep_) return;
   next_sweep_ = now + kSweepPeriod;
+  UpdatePace(now);
   ForgetOldFlows(now);
 }
 
--- a/packages/steering/src/target_directory.cc
+++ b/packages/steering/src/target_directory.cc
@@ -84,6 +84,12 @@
   return all;
 }
 
+AgentView* TargetDirectory::After(const Endpoint& agent) {
+  if (agents_.empty()) return nullptr;
+  const auto next = agents_.upper_bound(agent);
+  return next == agents_.end() ? &agents_.begin()->second : &next->second;
+}
+
 void TargetDirectory::OnReport(TimePoint now,
                                const schema::AgentReport& report) {
   last_report_of_any_ = now;
@@ -112,9 +118,9 @@
   }
 }
 
-void TargetDirectory::NoteSent(TimePoint now, AgentView& view) {
-  const bool tried_again = now - view.last_sent >= kSilencePause;
-  view.last_sent = now;
+void TargetDirectory::NoteAsked(TimePoint now, AgentView& view) {
+  const bool tried_again = now - view.last_asked >= kSilencePause;
+  view.last_asked = now;
   if (view.unanswered_probes == 0 || tried_again) {
     view.unanswered_since = now;
     view.unanswered_probes = 0;
@@ -128,7 +134,7 @@
 bool TargetDirectory::Silent(TimePoint now, const AgentView& view) const {
   return view.unanswered_probes > 0 &&
          now - view.unanswered_since > kSilenceLimit &&
-         now - view.last_sent < kSilencePause &&
+         now - view.last_asked < kSilencePause &&
          last_report_of_any_ > view.unanswered_since + kSilenceLimit / 2;
 }
 
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -139,6 +139,7 @@
 
 void SteeringWorld::Agent::Report(const Endpoint& balancer,
                                   const schema::AgentReport& report) {
+  ++world.reports;
   if (world.lose_reports) return;
   const size_t to = balancer.ip() - BalancerAddress(0).ip();
   world.Deliver(kHopDelay, [this, to, report] {
@@ -550,4 +551,34 @@
   });
 }
 
+int RunRounds(SteeringWorld& world, int rounds, Duration period) {
+  int before = 0;
+  for (auto& client : world.clients) {
+    for (const auto& [id, result] : client->results) before += result.answered;
+  }
+  for (int round = 0; round < rounds; ++round) {
+    for (auto& client : world.clients) {
+      if (client->busy()) continue;
+      client->Request("r" + std::to_string(world.random.Next()));
+    }
+    world.RunFor(period);
+  }
+  world.RunFor(std::chrono::seconds(2));
+  int answered = -before;
+  for (auto& client : world.clients) {
+    for (const auto& [id, result] : client->results) {
+      answered += result.answered;
+    }
+  }
+  return answered;
+}
+
+int Resets(const SteeringWorld& world) {
+  int resets = 0;
+  for (const auto& client : world.clients) {
+    for (const auto& [id, result] : client->results) resets += result.resets;
+  }
+  return resets;
+}
+
 }  // namespace sesamesaddle
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -178,6 +178,8 @@
   int resets = 0;
   /** Messages in which balancers asked agents for flows. */
   int queries = 0;
+  /** Reports of agents, lost ones too. */
+  int reports = 0;
 
   struct Balancer;
   struct Agent;
@@ -209,6 +211,16 @@
   std::map<size_t, int64_t> listed_;
 };
 
+/**
+ * Every client that is not busy sends a request, `rounds` times; then all may
+ * end.
+ * @return how many were answered
+ */
+int RunRounds(SteeringWorld& world, int rounds, Duration period);
+
+/** @return resets that clients got for their requests. */
+int Resets(const SteeringWorld& world);
+
 }  // namespace sesamesaddle
 
 #endif  // SESAMESADDLE_TESTS_SUPPORT_STEERING_WORLD_H_
