Calls to the store are counted by kind and outcome

Cause: the question which calls cost what could only be answered by a patched build. MeteredStore passes calls on and counts them; each process serves store_KIND_calls_total and store_KIND_failures_total. Answers such as "the key exists" are no failures. Test: store_test "Calls are counted by kind…".

--- a/packages/daemon/src/steering_command.cc
+++ b/packages/daemon/src/steering_command.cc
@@ -111,7 +111,8 @@
     LOG(INFO) << line;
     return DroppedLogLines() == dropped;
   });
-  StoreClient store(loop, settings.store, kStoreTimeout);
+  StoreClient client(loop, settings.store, kStoreTimeout);
+  MeteredStore store(client);
   const PlatformPacketCodec codec;
   const ConfigurationDocument decoder;
   const SteeringParts parts{loop,  scheduler, random, log,         store,
--- a/packages/steering_daemon/include/steering_daemon/metrics.h
+++ b/packages/steering_daemon/include/steering_daemon/metrics.h
@@ -10,6 +10,7 @@
 
 #include "core/event_log.h"
 #include "steering/flow_agent.h"
+#include "store/metered_store.h"
 
 namespace sesamesaddle {
 
@@ -19,6 +20,10 @@
 /** Adds the counts of log lines, the same in every process. */
 void AddLogCounts(const EventLogCounts& counts, CounterValues& values);
 
+/** Adds the calls to the store, by kind. */
+void AddStoreCalls(const std::map<StoreCall, StoreCallCounts>& counts,
+                   CounterValues& values);
+
 /** Durations as a histogram of seconds. */
 class LatencyHistogram : public DurationObserver {
  public:
--- a/packages/steering_daemon/include/steering_daemon/steering_process.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_process.h
@@ -18,7 +18,7 @@
 #include "steering_daemon/host.h"
 #include "steering_daemon/steering_settings.h"
 #include "steering_types.h"
-#include "store/store.h"
+#include "store/metered_store.h"
 
 namespace sesamesaddle {
 
@@ -34,7 +34,7 @@
   Scheduler& scheduler;
   RandomSource& random;
   EventLog& log;
-  Store& store;
+  MeteredStore& store;
   const PacketCodec& codec;
   const ConfigurationDecoder& decoder;
   const SettingsSource& settings_source;
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -288,6 +288,7 @@
       {"send_failures_total",
        balancers_->send_failures() + target_->send_failures()},
   };
+  AddStoreCalls(parts_.store.counts(), values);
   AddLogCounts(parts_.log.counts(), values);
   return values;
 }
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -339,6 +339,7 @@
       {"send_failures_total",
        clients_->send_failures() + agents_->send_failures()},
   };
+  AddStoreCalls(parts_.store.counts(), values);
   AddLogCounts(parts_.log.counts(), values);
   return values;
 }
--- a/packages/steering_daemon/src/metrics.cc
+++ b/packages/steering_daemon/src/metrics.cc
@@ -45,6 +45,15 @@
   values["log_lines_dropped_total"] = counts.dropped;
 }
 
+void AddStoreCalls(const std::map<StoreCall, StoreCallCounts>& counts,
+                   CounterValues& values) {
+  for (const auto& [call, count] : counts) {
+    const std::string name = "store_" + std::string(NameOf(call));
+    values[name + "_calls_total"] = count.made;
+    values[name + "_failures_total"] = count.failed;
+  }
+}
+
 LatencyHistogram::LatencyHistogram(prometheus::Registry& registry,
                                    const std::string& name,
                                    const std::string& help)
--- /dev/null
+++ b/packages/store/include/store/metered_store.h
@@ -0,0 +1,68 @@
+#ifndef SESAMESADDLE_STORE_METERED_STORE_H_
+#define SESAMESADDLE_STORE_METERED_STORE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "store/store.h"
+
+namespace sesamesaddle {
+
+/** What a call asks of the store. */
+enum class StoreCall {
+  kRead,
+  kList,
+  kWrite,
+  kRemove,
+  kGrantLease,
+  kRenewLease,
+  kEndLease,
+  kWatch,
+};
+
+/** @return a word such as "watch". */
+std::string_view NameOf(StoreCall call);
+
+/** Calls of one kind since the start of the process. */
+struct StoreCallCounts {
+  int64_t made = 0;
+  /** The store did not take the call, or its answer was lost. */
+  int64_t failed = 0;
+};
+
+/** Passes calls on to another store and counts them by kind and outcome. */
+class MeteredStore : public Store {
+ public:
+  /** @param inner  outlives this store */
+  explicit MeteredStore(Store& inner) : inner_(inner) {}
+
+  void Read(const std::string& key, Done<schema::KeyValue> done) override;
+  void List(const std::string& prefix,
+            Done<schema::KeyValueList> done) override;
+  void Create(const std::string& key, const std::string& value, LeaseId lease,
+              Done<KeyVersion> done) override;
+  void CompareAndSwap(const std::string& key, KeyVersion expected,
+                      const std::string& value, LeaseId lease,
+                      Done<KeyVersion> done) override;
+  void Remove(const std::string& key, Done<KeyVersion> done) override;
+  void GrantLease(Duration time_to_live, Done<LeaseId> done) override;
+  void RenewLease(LeaseId lease, Done<LeaseId> done) override;
+  void EndLease(LeaseId lease, Done<LeaseId> done) override;
+  void Watch(const std::string& prefix, int64_t revision, Duration wait,
+             Done<schema::KeyValueList> done) override;
+
+  const std::map<StoreCall, StoreCallCounts>& counts() const { return counts_; }
+
+ private:
+  /** Counts a call. @return `done`, which counts a failure first */
+  template <typename T>
+  Done<T> Count(StoreCall call, Done<T> done);
+
+  Store& inner_;
+  std::map<StoreCall, StoreCallCounts> counts_;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_STORE_METERED_STORE_H_
--- a/packages/store/tests/store_test.cc
+++ b/packages/store/tests/store_test.cc
@@ -2,7 +2,9 @@
 #include <string>
 
 #include "core/time.h"
+#include "fake_store.h"
 #include "memory_store.h"
+#include "store/metered_store.h"
 
 namespace sesamesaddle {
 namespace {
@@ -51,6 +53,33 @@
   CHECK(changes.items[1].deleted);
 }
 
+TEST_CASE("Calls are counted by kind; errors of the store are no failures") {
+  MemoryStore memory;
+  VirtualScheduler scheduler;
+  FakeStore inner(memory, scheduler);
+  MeteredStore store(inner);
+  int errors = 0;
+  const auto count = [&errors](const auto& result) { errors += !result; };
+  store.Create("k", "a", kNoLease, count);
+  store.Create("k", "b", kNoLease, count);
+  store.Read("none", count);
+  inner.fate = [] { return Fate::kNotTaken; };
+  store.Read("k", count);
+  store.Watch("", 0, std::chrono::milliseconds(10), count);
+  inner.fate = [] { return Fate::kReplyLost; };
+  store.RenewLease(LeaseId(1), count);
+  scheduler.RunFor(std::chrono::seconds(2));
+  CHECK(errors == 5);
+  const auto& counts = store.counts();
+  CHECK(counts.at(StoreCall::kWrite).made == 2);
+  CHECK(counts.at(StoreCall::kWrite).failed == 0);
+  CHECK(counts.at(StoreCall::kRead).made == 2);
+  CHECK(counts.at(StoreCall::kRead).failed == 1);
+  CHECK(counts.at(StoreCall::kWatch).failed == 1);
+  CHECK(counts.at(StoreCall::kRenewLease).failed == 1);
+  CHECK(counts.count(StoreCall::kList) == 0);
+}
+
 TEST_CASE("Values over a megabyte are refused") {
   MemoryStore store;
   CHECK(store.Create("k", std::string(kMaxValueBytes + 1, 'x'), kNoLease)
