The operators' language is answered by the processes of packet flows

Cause: on the users' platform an operator had a JSON dump and metrics only; the product's own query language was served on the CoAP path alone.

Change: every process that steers flows answers show services, targets, balancers, flows and changes with the same client, filters and exit codes. Changes are refused by name, as routes and drains are written to the platform's store. What the two servers share (token, limits, formats) moved from the CoAP daemon's server into operator_api, behind the interface CommandExecutor.

Ruled out: commands that write to the store's configuration (op/ is the platform operators' and refused to the system).

Tests: operator_api_test (mocked executor, real HTTP), steering_commands_test.

--- a/packages/daemon/include/daemon/admin_server.h
+++ b/packages/daemon/include/daemon/admin_server.h
@@ -5,8 +5,10 @@
 #include <memory>
 #include <string>
 
-#include "daemon/operator_commands.h"
+#include "admin_types.h"
+#include "daemon/role.h"
 #include "net/http_server.h"
+#include "operator_api/command_endpoint.h"
 
 namespace sesamesaddle {
 
@@ -25,24 +27,20 @@
  public:
   static tl::expected<std::unique_ptr<AdminServer>, NetError> Open(
       EventLoop& loop, const Endpoint& listen, std::string token,
-      AdminSources sources, OperatorCommands& commands);
+      AdminSources sources, CommandExecutor& commands);
 
   AdminServer(std::string token, AdminSources sources,
-              OperatorCommands& commands);
+              CommandExecutor& commands);
 
   /** Answers one request; public for tests. */
   void OnRequest(const HttpRequest& request,
                  const std::shared_ptr<HttpResponder>& responder);
 
  private:
-  void OnCommand(const HttpRequest& request,
-                 const std::shared_ptr<HttpResponder>& responder);
-  bool Authorized(const HttpRequest& request) const;
   HttpResponse Metrics() const;
 
-  std::string token_;
+  CommandEndpoint commands_;
   AdminSources sources_;
-  OperatorCommands& commands_;
   std::unique_ptr<HttpServer> server_;
 };
 
--- a/packages/daemon/include/daemon/operator_commands.h
+++ b/packages/daemon/include/daemon/operator_commands.h
@@ -1,7 +1,6 @@
 #ifndef SESAMESADDLE_DAEMON_OPERATOR_COMMANDS_H_
 #define SESAMESADDLE_DAEMON_OPERATOR_COMMANDS_H_
 
-#include <functional>
 #include <memory>
 #include <string>
 
@@ -10,32 +9,21 @@
 #include "configuration/change_log.h"
 #include "core/random.h"
 #include "daemon/role.h"
+#include "operator_api/command_executor.h"
 
 namespace sesamesaddle {
 
-/** How a command is to be carried out. */
-struct CommandOptions {
-  /** Names the change, so that a lost reply can be settled; made if empty. */
-  std::string change_id;
-  std::string author;
-  /** Wait until the change is in force everywhere; zero does not wait. */
-  Duration wait{};
-};
-
 /** Carries out commands of operators on one daemon. */
-class OperatorCommands {
+class OperatorCommands : public CommandExecutor {
  public:
-  using Done = std::function<void(const schema::CommandReply& reply)>;
-
   /** A change that is not settled by then has an unknown outcome. */
   static constexpr Duration kSubmitLimit = std::chrono::seconds(5);
 
   OperatorCommands(Role& role, ChangeLog& log, Scheduler& scheduler,
                    RandomSource& random, CarryOut carry_out);
 
-  /** `done` is called once, at once or later. */
   void Execute(const std::string& text, const CommandOptions& options,
-               Done done);
+               Done done) override;
 
  private:
   struct Waiting;
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -66,6 +66,26 @@
   int64_t failing = 0;
 };
 
+/** What an agent knows of one flow. */
+struct AgentFlow {
+  Flow flow;
+  /** Balancer whose packet came last. */
+  Endpoint balancer;
+  /** "opening", "open" or "ended". */
+  std::string_view state;
+  /** A request is in progress. */
+  bool waiting = false;
+  Duration idle{};
+};
+
+/** A balancer that sends packets to an agent. */
+struct AgentPeer {
+  Endpoint balancer;
+  Duration last_packet{};
+  /** Time between reports that answer nothing. */
+  Duration report_period{};
+};
+
 /** Observes durations for the metrics. */
 class DurationObserver {
  public:
@@ -123,6 +143,10 @@
   const std::string& service() const;
   const FlowAgentCounters& counters() const { return counters_; }
   size_t flow_count() const { return flows_.size(); }
+  std::vector<AgentFlow> Flows(TimePoint now) const;
+  std::vector<AgentPeer> Peers(TimePoint now) const;
+  Duration response_time() const { return response_; }
+  size_t queued() const { return queue_.size(); }
   int waiting() const { return waiting_; }
   /** Whether the target fails requests although it says that it is well. */
   bool failing() const { return failing_; }
@@ -135,6 +159,7 @@
 
  private:
   enum class FlowState : uint8_t { kOpening, kOpen, kEnded };
+  static std::string_view NameOf(FlowState state);
   struct FlowEntry {
     FlowState state = FlowState::kOpening;
     bool sequence_known = false;
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -38,6 +38,15 @@
   virtual void RefreshDirectory() = 0;
 };
 
+/** What a balancer remembers of one flow. */
+struct BalancerFlow {
+  Flow flow;
+  Endpoint agent;
+  /** The agent has confirmed that its target took the flow. */
+  bool accepted = false;
+  Duration idle{};
+};
+
 /** Counts since the start of the process. */
 struct FlowBalancerCounters {
   int64_t packets = 0;
@@ -116,6 +125,7 @@
   /** Time between reports that it asks of each agent. */
   Duration report_period() const { return pace_.period(); }
   size_t flow_count() const { return flows_.size(); }
+  std::vector<BalancerFlow> Flows(TimePoint now) const;
   /** Sends the queries gathered so far, unless some were sent just now. */
   void FlushQueries(TimePoint now);
   /** Whether something waits for the next tick. */
--- a/packages/steering/include/steering/target_directory.h
+++ b/packages/steering/include/steering/target_directory.h
@@ -92,6 +92,7 @@
   /** @return the agents of a service; valid until the next change. */
   const std::vector<AgentView*>& OfService(const std::string& service);
   std::vector<AgentView*> All();
+  std::vector<const AgentView*> All() const;
   /** @return the agent after that address, in a circle; null if none. */
   AgentView* After(const Endpoint& agent);
   size_t size() const { return agents_.size(); }
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -155,6 +155,36 @@
   return view;
 }
 
+std::string_view FlowAgent::NameOf(FlowState state) {
+  switch (state) {
+    case FlowState::kOpening:
+      return "opening";
+    case FlowState::kOpen:
+      return "open";
+    case FlowState::kEnded:
+      return "ended";
+  }
+  return "unknown";
+}
+
+std::vector<AgentFlow> FlowAgent::Flows(TimePoint now) const {
+  std::vector<AgentFlow> flows;
+  flows.reserve(flows_.size());
+  for (const auto& [flow, entry] : flows_) {
+    flows.push_back({flow, entry.balancer, NameOf(entry.state), entry.waiting,
+                     now - entry.last_packet});
+  }
+  return flows;
+}
+
+std::vector<AgentPeer> FlowAgent::Peers(TimePoint now) const {
+  std::vector<AgentPeer> peers;
+  for (const auto& [balancer, view] : balancers_) {
+    peers.push_back({balancer, now - view.last_packet, view.report_period});
+  }
+  return peers;
+}
+
 void FlowAgent::ReportToAll() {
   for (auto& [endpoint, view] : balancers_) view.urgent = true;
   urgent_ = true;
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -546,6 +546,16 @@
   }
 }
 
+std::vector<BalancerFlow> FlowBalancer::Flows(TimePoint now) const {
+  std::vector<BalancerFlow> flows;
+  flows.reserve(flows_.size());
+  for (const auto& [flow, entry] : flows_) {
+    flows.push_back(
+        {flow, entry.agent, entry.accepted, now - entry.last_packet});
+  }
+  return flows;
+}
+
 void FlowBalancer::ForgetOldFlows(TimePoint now) {
   const Duration idle_limit = routes_.idle_timeout + kIdleMargin;
   for (auto it = flows_.begin(); it != flows_.end();) {
--- a/packages/steering/src/target_directory.cc
+++ b/packages/steering/src/target_directory.cc
@@ -84,6 +84,13 @@
   return all;
 }
 
+std::vector<const AgentView*> TargetDirectory::All() const {
+  std::vector<const AgentView*> all;
+  all.reserve(agents_.size());
+  for (const auto& [agent, view] : agents_) all.push_back(&view);
+  return all;
+}
+
 AgentView* TargetDirectory::After(const Endpoint& agent) {
   if (agents_.empty()) return nullptr;
   const auto next = agents_.upper_bound(agent);
--- a/packages/steering_daemon/include/steering_daemon/agent_process.h
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -10,12 +10,15 @@
 #include "steering_daemon/inspection.h"
 #include "steering_daemon/metrics.h"
 #include "steering_daemon/settings_watcher.h"
+#include "steering_daemon/steering_commands.h"
 #include "steering_daemon/steering_process.h"
 
 namespace sesamesaddle {
 
 /** The process of an agent: sockets, the target's announcements, stop. */
-class AgentProcess : public SteeringProcess, private FlowAgentOutput {
+class AgentProcess : public SteeringProcess,
+                     private FlowAgentOutput,
+                     private SteeringTables {
  public:
   AgentProcess(SteeringParts parts, SteeringSettings settings);
 
@@ -46,6 +49,8 @@
   void SlowTick();
   void BeginStop();
   void AdvanceStop();
+  tl::expected<schema::Table, std::string> TableOf(
+      Subject subject) const override;
   CounterValues Counters() const;
   std::string State() const;
   schema::TargetRecord MakeRecord() const;
@@ -60,6 +65,7 @@
   std::unique_ptr<PacketSocket> balancers_;
   std::unique_ptr<PacketSocket> target_;
   std::unique_ptr<PacketSocket> control_;
+  SteeringCommands commands_{*this};
   Inspection inspection_;
   EventLoop::Timer report_timer_;
   EventLoop::Timer slow_timer_;
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -12,6 +12,7 @@
 #include "steering_daemon/metrics.h"
 #include "steering_daemon/replica_exchange.h"
 #include "steering_daemon/settings_watcher.h"
+#include "steering_daemon/steering_commands.h"
 #include "steering_daemon/steering_process.h"
 
 namespace sesamesaddle {
@@ -19,7 +20,8 @@
 /** The process of a balancer: sockets, replica of the store, stop. */
 class BalancerProcess : public SteeringProcess,
                         private FlowBalancerOutput,
-                        private ReplicaListener {
+                        private ReplicaListener,
+                        private SteeringTables {
  public:
   BalancerProcess(SteeringParts parts, SteeringSettings settings,
                   PlacementKind placement);
@@ -55,6 +57,8 @@
   void BeginStop();
   void AdvanceStop();
   void AddSeeds();
+  tl::expected<schema::Table, std::string> TableOf(
+      Subject subject) const override;
   CounterValues Counters() const;
   std::string State();
 
@@ -70,6 +74,7 @@
   std::unique_ptr<PacketSocket> clients_;
   std::unique_ptr<PacketSocket> agents_;
   std::unique_ptr<PacketSocket> control_;
+  SteeringCommands commands_{*this};
   Inspection inspection_;
   EventLoop::Timer fast_timer_;
   EventLoop::Timer slow_timer_;
--- a/packages/steering_daemon/include/steering_daemon/inspection.h
+++ b/packages/steering_daemon/include/steering_daemon/inspection.h
@@ -10,6 +10,7 @@
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "net/net_error.h"
+#include "operator_api/command_executor.h"
 #include "steering_daemon/steering_settings.h"
 
 namespace sesamesaddle {
@@ -23,9 +24,11 @@
   std::function<std::string()> state;
   /** Empty where the process keeps no replica. */
   std::function<std::string()> replica;
+  /** Answers the operators' queries. */
+  CommandExecutor& commands;
 };
 
-/** Serves metrics, the state dump and a balancer's replica. */
+/** Serves metrics, the state dump, commands and a balancer's replica. */
 class Inspection {
  public:
   /**
--- a/packages/steering_daemon/include/steering_daemon/replica_exchange.h
+++ b/packages/steering_daemon/include/steering_daemon/replica_exchange.h
@@ -53,12 +53,14 @@
 
   size_t peer_count() const { return peers_.size(); }
 
- private:
   struct Peer {
     Endpoint control;
     Endpoint replica;
   };
+  /** Peers by their keys in the directory. */
+  const std::map<std::string, Peer>& peers() const { return peers_; }
 
+ private:
   schema::ReplicaVersion OwnVersion() const;
   void CopyFrom(const Endpoint& replica);
   HttpClient& ClientOf(const Endpoint& replica);
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -4,6 +4,7 @@
 
 #include "schema/codec.h"
 #include "schema/readable_json.h"
+#include "steering_daemon/steering_tables.h"
 
 namespace sesamesaddle {
 namespace {
@@ -45,7 +46,7 @@
   if (!opened) return opened;
   const InspectionSources sources{
       [this] { return FormatMetrics(Counters(), &histograms_); },
-      [this] { return State(); }, nullptr};
+      [this] { return State(); }, nullptr, commands_};
   auto inspected =
       inspection_.Open(parts_.loop, settings_, parts_.log, sources);
   if (!inspected) return inspected;
@@ -293,6 +294,12 @@
   return values;
 }
 
+tl::expected<schema::Table, std::string> AgentProcess::TableOf(
+    Subject subject) const {
+  return MakeTable(subject,
+                   AgentTableSources{parts_.loop.Now(), agent_, MakeRecord()});
+}
+
 std::string AgentProcess::State() const {
   schema::SteeringState state;
   state.name = settings_.name;
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -5,6 +5,7 @@
 #include "core/text.h"
 #include "schema/codec.h"
 #include "schema/readable_json.h"
+#include "steering_daemon/steering_tables.h"
 
 namespace sesamesaddle {
 namespace {
@@ -58,7 +59,7 @@
   const InspectionSources sources{
       [this] { return FormatMetrics(Counters(), nullptr); },
       [this] { return State(); },
-      [this] { return EncodeCompact(follower_.Snapshot()); }};
+      [this] { return EncodeCompact(follower_.Snapshot()); }, commands_};
   auto inspected =
       inspection_.Open(parts_.loop, settings_, parts_.log, sources);
   if (!inspected) return inspected;
@@ -344,6 +345,14 @@
   return values;
 }
 
+tl::expected<schema::Table, std::string> BalancerProcess::TableOf(
+    Subject subject) const {
+  return MakeTable(
+      subject, BalancerTableSources{parts_.loop.Now(), balancer_, directory_,
+                                    exchange_.peers(),
+                                    follower_.configuration_revision()});
+}
+
 std::string BalancerProcess::State() {
   schema::SteeringState state;
   state.name = settings_.name;
--- a/packages/steering_daemon/src/inspection.cc
+++ b/packages/steering_daemon/src/inspection.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "operator_api/command_endpoint.h"
+
 namespace sesamesaddle {
 namespace {
 
@@ -10,9 +12,14 @@
   constexpr int kNotFoundStatus = 404;
   return HttpServer::Open(
       loop, listen,
-      [sources = std::move(sources)](
+      [commands = CommandEndpoint("", sources.commands),
+       sources = std::move(sources)](
           const HttpRequest& request,
           const std::shared_ptr<HttpResponder>& responder) {
+        if (request.path == kCommandPath) {
+          commands.OnRequest(request, responder);
+          return;
+        }
         HttpResponse response;
         if (request.path == "/metrics") {
           response.body = sources.metrics();
--- /dev/null
+++ b/packages/steering_daemon/tests/steering_commands_test.cc
@@ -0,0 +1,170 @@
+#include "steering_daemon/steering_commands.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "silent_log.h"
+#include "steering_daemon/steering_tables.h"
+#include "test_packet_codec.h"
+
+namespace sesamesaddle {
+namespace {
+
+const TimePoint kNow(std::chrono::seconds(1000));
+const Endpoint kRoute(0xc6120001, 443);
+const Endpoint kCaller(0x64400007, 40001);
+
+/** Drops what a balancer or an agent sends. */
+class NoOutput : public FlowBalancerOutput, public FlowAgentOutput {
+ public:
+  void ToAgent(const Endpoint& /*agent*/, std::string_view packet) override {
+    last_packet = std::string(packet);
+  }
+  void ToClient(const Endpoint& /*client*/,
+                std::string_view /*packet*/) override {}
+  void Query(const Endpoint& /*agent*/,
+             const schema::FlowQuery& /*query*/) override {}
+  void RefreshDirectory() override {}
+  void ToTarget(std::string_view /*packet*/) override {}
+  void ToBalancer(const Endpoint& /*balancer*/,
+                  std::string_view /*packet*/) override {}
+  void Report(const Endpoint& /*balancer*/,
+              const schema::AgentReport& /*report*/) override {}
+
+  std::string last_packet;
+};
+
+class NoObserver : public DurationObserver {
+ public:
+  void Observe(Duration /*duration*/) override {}
+};
+
+schema::TargetRecord MakeRecord() {
+  schema::TargetRecord record;
+  record.id = "i-1";
+  record.born_ms = 1;
+  record.service_name = "orders";
+  record.agent = Endpoint(0x0a010001, 8172).Pack();
+  record.zone = "montreal";
+  record.slots = 3;
+  record.state = schema::TargetState::kReady;
+  return record;
+}
+
+/** A balancer that has placed one flow at the one target, and its agent. */
+struct Placed : public SteeringTables {
+  Placed() {
+    RouteTable routes;
+    routes.version = 7;
+    routes.routes[kRoute].name = "r-1";
+    routes.routes[kRoute].services = {{"orders", 1}};
+    balancer.Apply(kNow, std::move(routes));
+    directory.Put(kNow, "target/1", MakeRecord(), 5);
+    agent.OnAnnouncement(kNow, Announcement());
+    PacketHead syn;
+    syn.source = kCaller;
+    syn.destination = kRoute;
+    syn.syn = true;
+    std::string packet = TestPacketCodec::Encode(syn);
+    balancer.OnClientPacket(kNow, packet.data(), packet.size());
+    packet = output.last_packet;
+    agent.OnBalancerPacket(kNow, Endpoint(0x0a020001, 7722), packet.data(),
+                           packet.size());
+  }
+
+  static TargetAnnouncement Announcement() {
+    TargetAnnouncement said;
+    said.id = "i-1";
+    said.born_ms = 1;
+    said.service = "orders";
+    said.slots = 3;
+    said.sequence = 1;
+    return said;
+  }
+
+  tl::expected<schema::Table, std::string> TableOf(
+      Subject subject) const override {
+    if (as_agent) {
+      return MakeTable(subject, AgentTableSources{kNow, agent, MakeRecord()});
+    }
+    return MakeTable(
+        subject, BalancerTableSources{kNow, balancer, directory, peers, 12});
+  }
+
+  schema::CommandReply Run(const std::string& text) {
+    schema::CommandReply reply;
+    SteeringCommands(*this).Execute(
+        text, {}, [&reply](const auto& answer) { reply = answer; });
+    return reply;
+  }
+
+  bool as_agent = false;
+  TestPacketCodec codec;
+  SilentLog log;
+  NoOutput output;
+  NoObserver observer;
+  TargetDirectory directory;
+  LeastWaitPlacement placement{Topology("montreal"), directory};
+  FlowBalancer balancer{
+      Topology("montreal"), codec, directory, placement, output, log};
+  FlowAgent agent{
+      kNow,  {Endpoint(0x0a010001, 8172), "orders", std::chrono::seconds(60)},
+      codec, output,
+      log,   observer};
+  std::map<std::string, ReplicaExchange::Peer> peers = {
+      {"balancer/2", {Endpoint(0x0a020002, 7720), Endpoint(0x0a020002, 7721)}}};
+};
+
+std::string Cell(const schema::Table& table, const std::string& column) {
+  for (size_t i = 0; i < table.columns.size(); ++i) {
+    if (table.columns[i] == column) return table.rows.at(0).cells.at(i);
+  }
+  return "no such column";
+}
+
+TEST_CASE("A balancer answers what it knows") {
+  Placed placed;
+  const auto targets = placed.Run("show targets where zone = montreal");
+  REQUIRE(targets.table.rows.size() == 1);
+  CHECK(Cell(targets.table, "name") == "i-1");
+  CHECK(Cell(targets.table, "usable") == "yes");
+  CHECK(placed.Run("show targets where slots > 3").table.rows.empty());
+  const auto services = placed.Run("show services");
+  CHECK(Cell(services.table, "services") == "orders:1");
+  CHECK(Cell(services.table, "targets") == "1");
+  const auto flows = placed.Run("show flows");
+  CHECK(Cell(flows.table, "caller") == "100.64.0.7:40001");
+  CHECK(Cell(flows.table, "agent") == "10.1.0.1:8172");
+  CHECK(Cell(placed.Run("show balancers").table, "name") == "balancer/2");
+  const auto changes = placed.Run("show changes");
+  CHECK(Cell(changes.table, "revision") == "12");
+  CHECK(Cell(changes.table, "version") == "7");
+}
+
+TEST_CASE("An agent answers for its target and its flows") {
+  Placed placed;
+  placed.as_agent = true;
+  CHECK(Cell(placed.Run("show targets").table, "state") == "ready");
+  const auto flows = placed.Run("show flows where state = opening");
+  CHECK(Cell(flows.table, "balancer") == "10.2.0.1:7722");
+  CHECK(Cell(placed.Run("show balancers").table, "report_period_ms") == "50");
+  const auto services = placed.Run("show services");
+  CHECK(services.outcome == schema::CommandOutcome::kRefused);
+  CHECK(services.message ==
+        "refused: an agent keeps no configuration; ask a balancer");
+}
+
+TEST_CASE("Changes, unknown columns and bad commands are refused by name") {
+  Placed placed;
+  CHECK(placed.Run("drain instance i-1").outcome ==
+        schema::CommandOutcome::kRefused);
+  CHECK(placed.Run("show targets where colour = red").outcome ==
+        schema::CommandOutcome::kRefused);
+  const auto syntax = placed.Run("show nothing");
+  CHECK(syntax.outcome == schema::CommandOutcome::kSyntaxError);
+  CHECK(syntax.column == 6);
+  CHECK(placed.Run("help").message == kCommandHelp);
+}
+
+}  // namespace
+}  // namespace sesamesaddle
