A search asks only where the flow's route led within a flow's lifetime

Cause: an open flow stays where it is when its route is pointed elsewhere, so a search that the route's services denied went on to every target of the fleet. At 7,400 targets that takes 230 rounds of 20 ms, over the limit of 2 s: flows that nobody holds were never reset, and each cost thousands of messages.

Change: RouteHistory keeps the services that routes no longer lead to. It reaches back a flow's lifetime (60 s) from the process's start, or from a configuration that may have followed others this process never saw (one that was read or copied, not watched); until then all are asked as before.

Ruled out: taking the history from peers (a peer may have missed the same version); asking only the present services (flows of a re-pointed route would be reset, test "A flow stays reachable where its route no longer leads").

--- a/benchmark/steering_benchmark.cc
+++ b/benchmark/steering_benchmark.cc
@@ -46,7 +46,7 @@
 struct Fixture {
   explicit Fixture(int64_t agents)
       : placement(Topology("here"), directory),
-        balancer(Topology("here"), codec, directory, placement, output, log) {
+        balancer({Topology("here")}, codec, directory, placement, output, log) {
     RouteTable routes;
     routes.version = 1;
     routes.routes[kRoute].services = {{"orders", 1}};
--- a/packages/registry/include/registry/replica_follower.h
+++ b/packages/registry/include/registry/replica_follower.h
@@ -20,9 +20,12 @@
  public:
   virtual ~ReplicaListener() = default;
 
-  /** The operators' document, when it changes. */
-  virtual void OnConfiguration(const std::string& document,
-                               int64_t revision) = 0;
+  /**
+   * The operators' document, when it changes.
+   * @param gap  others may have been written since the last one told
+   */
+  virtual void OnConfiguration(const std::string& document, int64_t revision,
+                               bool gap) = 0;
   virtual void OnEntry(const std::string& key, const std::string& value,
                        int64_t revision) = 0;
   virtual void OnEntryRemoved(const std::string& key, int64_t revision) = 0;
@@ -101,8 +104,9 @@
   /** Watches again once further changes have had time to gather. */
   void WatchAfterGathering();
   void OnListed(const schema::KeyValueList& list);
-  void Take(const schema::KeyValue& item);
-  void TakeConfiguration(const std::string& document, int64_t revision);
+  void Take(const schema::KeyValue& item, bool gap);
+  void TakeConfiguration(const std::string& document, int64_t revision,
+                         bool gap);
   void TakeEntry(const std::string& key, const std::string& value,
                  int64_t revision);
   void RemoveEntry(const std::string& key, int64_t revision);
--- a/packages/registry/src/replica_follower.cc
+++ b/packages/registry/src/replica_follower.cc
@@ -69,7 +69,7 @@
   std::map<std::string, int64_t> present;
   for (const schema::KeyValue& item : list.items) {
     if (OfDirectory(item.key)) present[item.key] = item.version;
-    Take(item);
+    Take(item, true);
   }
   RemoveMissing(present, list.revision);
   directory_revision_ = std::max(directory_revision_, list.revision);
@@ -118,7 +118,7 @@
 }
 
 void ReplicaFollower::TakeChanges(const schema::KeyValueList& changes) {
-  for (const schema::KeyValue& item : changes.items) Take(item);
+  for (const schema::KeyValue& item : changes.items) Take(item, false);
   directory_revision_ = std::max(directory_revision_, changes.revision);
 }
 
@@ -163,9 +163,9 @@
       .Add("revision", directory_revision_);
 }
 
-void ReplicaFollower::Take(const schema::KeyValue& item) {
+void ReplicaFollower::Take(const schema::KeyValue& item, bool gap) {
   if (item.key == keys_.configuration) {
-    if (!item.deleted) TakeConfiguration(item.value, item.version);
+    if (!item.deleted) TakeConfiguration(item.value, item.version, gap);
   } else if (!OfDirectory(item.key)) {
     return;
   } else if (item.deleted) {
@@ -176,11 +176,11 @@
 }
 
 void ReplicaFollower::TakeConfiguration(const std::string& document,
-                                        int64_t revision) {
+                                        int64_t revision, bool gap) {
   if (revision <= configuration_revision_) return;
   configuration_ = document;
   configuration_revision_ = revision;
-  listener_.OnConfiguration(document, revision);
+  listener_.OnConfiguration(document, revision, gap);
 }
 
 void ReplicaFollower::TakeEntry(const std::string& key,
@@ -207,7 +207,7 @@
 void ReplicaFollower::TakeSnapshot(const schema::ReplicaSnapshot& snapshot) {
   if (snapshot.version.configuration_revision > configuration_revision_) {
     TakeConfiguration(snapshot.configuration,
-                      snapshot.version.configuration_revision);
+                      snapshot.version.configuration_revision, true);
   }
   if (snapshot.version.directory_revision <= directory_revision_) return;
   std::map<std::string, int64_t> present;
--- a/packages/registry/tests/registry_test.cc
+++ b/packages/registry/tests/registry_test.cc
@@ -179,7 +179,9 @@
 /** Keeps what a follower tells, and checks that nothing goes back. */
 class Recorder : public ReplicaListener {
  public:
-  void OnConfiguration(const std::string& document, int64_t revision) override {
+  void OnConfiguration(const std::string& document, int64_t revision,
+                       bool gap) override {
+    gaps += static_cast<int>(gap);
     CHECK(revision > configuration_revision);
     configuration = document;
     configuration_revision = revision;
@@ -202,6 +204,8 @@
   std::map<std::string, std::string> entries;
   std::map<std::string, int64_t> revisions;
   TimePoint read_as_of{};
+  /** Configurations that may have followed others never told. */
+  int gaps = 0;
 };
 
 const ReplicaKeys kKeys{"op/config", "dir/"};
@@ -326,6 +330,24 @@
   CHECK(f.recorder.read_as_of > asked);
 }
 
+TEST_CASE("Configurations that were read, not watched, may follow others") {
+  Following f("v1");
+  f.follower.Start();
+  f.scheduler.RunFor(milliseconds(100));
+  CHECK(f.recorder.gaps == 1);
+  f.Configure("v2");
+  f.scheduler.RunFor(seconds(3));
+  f.Configure("v3");
+  f.scheduler.RunFor(seconds(3));
+  CHECK(f.recorder.configuration == "v3");
+  CHECK(f.recorder.gaps == 1);
+  schema::ReplicaSnapshot copy = f.follower.Snapshot();
+  copy.configuration = "v9";
+  copy.version.configuration_revision += 10;
+  f.follower.TakeSnapshot(copy);
+  CHECK(f.recorder.gaps == 2);
+}
+
 TEST_CASE("A refresh takes the place of the watch that would come next") {
   Gathering f;
   int watches = 0;
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -17,6 +17,7 @@
 #include "steering/packet.h"
 #include "steering/placement.h"
 #include "steering/report_pace.h"
+#include "steering/route_history.h"
 #include "steering/route_table.h"
 #include "steering/target_directory.h"
 #include "steering_types.h"
@@ -71,6 +72,13 @@
   int64_t malformed = 0;
 };
 
+/** What a balancer is told at its start. */
+struct FlowBalancerOptions {
+  Topology topology;
+  /** A flow older than this may be forgotten by everybody. */
+  Duration flow_lifetime = std::chrono::seconds(60);
+};
+
 /**
  * Decisions of a balancer: which target gets a new flow, and which one a packet
  * of an open flow belongs to. What it remembers of flows is a cache; agents and
@@ -94,7 +102,7 @@
   /** Targets that one SYN is sent to at most, without refusals. */
   static constexpr size_t kMaxTargetsPerSyn = 3;
 
-  FlowBalancer(Topology topology, const PacketCodec& codec,
+  FlowBalancer(FlowBalancerOptions options, const PacketCodec& codec,
                TargetDirectory& directory, PlacementPolicy& placement,
                FlowBalancerOutput& output, EventLog& log);
 
@@ -105,7 +113,8 @@
                      size_t size);
   void OnReport(TimePoint now, const schema::AgentReport& report);
   /** Takes a later version; flows of dropped routes are reset. */
-  void Apply(TimePoint now, RouteTable routes);
+  void Apply(TimePoint now, RouteTable routes,
+             Succession succession = Succession::kNext);
   /** Agents that the directory has dropped. */
   void OnAgentsGone(TimePoint now, const std::vector<Endpoint>& agents);
   /** The directory holds all that the store listed at `as_of`. */
@@ -225,6 +234,7 @@
   EventLog& log_;
   FlowProber prober_;
   RouteTable routes_;
+  RouteHistory history_;
   bool current_ = false;
   FlowMap flows_;
   std::unordered_map<Flow, Placing> placing_;
--- a/packages/steering/include/steering/flow_prober.h
+++ b/packages/steering/include/steering/flow_prober.h
@@ -31,13 +31,21 @@
   virtual void RefreshDirectory() = 0;
 };
 
+/** Where a flow can be. */
+struct SearchScope {
+  /** Services that its route leads to, or led to a while ago; asked first. */
+  std::vector<std::string> services;
+  /** It may be at any other service too. */
+  bool everywhere = true;
+};
+
 /**
  * Looks for the target that holds a flow. It asks the most likely agents first
  * and further ones when those do not answer or deny it; an agent that cannot
  * tell is offered the flow's packets, so that its target decides. It concludes
- * that nobody holds the flow only from the answers of all that were listed when
- * the search began: a flow may be at a target that was listed just before, as
- * another balancer may have known of it sooner.
+ * that nobody holds the flow only from the answers of all that may hold it and
+ * were listed when the search began: a flow may be at a target that was listed
+ * just before, as another balancer may have known of it sooner.
  */
 class FlowProber {
  public:
@@ -58,12 +66,12 @@
 
   /**
    * Starts a search, or adds a packet to one in progress.
-   * @param likely    agents to ask first; chosen by the flow's hash if empty
-   * @param services  services that the flow's route leads to
-   * @param denied    agents that are known not to hold the flow
+   * @param scope   where the flow can be
+   * @param likely  agents to ask first; chosen by the flow's hash if empty
+   * @param denied  agents that are known not to hold the flow
    */
   void Search(TimePoint now, const Flow& flow, const PacketHead& head,
-              std::string packet, const std::vector<std::string>& services,
+              std::string packet, const SearchScope& scope,
               const std::vector<Endpoint>& likely,
               const std::vector<Endpoint>& denied);
   /**
@@ -87,7 +95,7 @@
  private:
   struct SearchState {
     std::vector<std::string> packets;
-    std::vector<std::string> services;
+    SearchScope scope;
     std::set<Endpoint> asked;
     std::set<Endpoint> denied;
     std::set<Endpoint> unsure;
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -19,16 +19,10 @@
 // A SYN that was sent to targets is repeated for so long.
 constexpr Duration kPlacingLimit = std::chrono::milliseconds(400);
 
-std::vector<std::string> ServicesOf(const Route& route) {
-  std::vector<std::string> services;
-  for (const auto& share : route.services) services.push_back(share.service);
-  return services;
-}
-
 }  // namespace
 
-FlowBalancer::FlowBalancer(Topology topology, const PacketCodec& codec,
-                           TargetDirectory& directory,
+FlowBalancer::FlowBalancer(FlowBalancerOptions options,
+                           const PacketCodec& codec, TargetDirectory& directory,
                            PlacementPolicy& placement,
                            FlowBalancerOutput& output, EventLog& log)
     : codec_(codec),
@@ -36,7 +30,8 @@
       placement_(placement),
       output_(output),
       log_(log),
-      prober_(std::move(topology), directory, *this) {}
+      prober_(std::move(options.topology), directory, *this),
+      history_(options.flow_lifetime) {}
 
 void FlowBalancer::OnClientPacket(TimePoint now, char* packet, size_t size) {
   ++counters_.packets;
@@ -314,8 +309,9 @@
       .Add("denied", denied.size())
       .Add("targets", directory_.size())
       .Add("config", routes_.version);
-  prober_.Search(now, flow, head, std::string(packet), ServicesOf(*route),
-                 likely, denied);
+  const SearchScope scope{history_.ServicesOf(now, flow.service, *route),
+                          !history_.Complete(now)};
+  prober_.Search(now, flow, head, std::string(packet), scope, likely, denied);
 }
 
 void FlowBalancer::Ask(TimePoint now, AgentView& agent, const Flow& flow) {
@@ -461,8 +457,10 @@
   output_.ToClient(flow.caller, codec_.EncodeReset(flow, acknowledged));
 }
 
-void FlowBalancer::Apply(TimePoint /*now*/, RouteTable routes) {
+void FlowBalancer::Apply(TimePoint now, RouteTable routes,
+                         Succession succession) {
   if (routes.version < routes_.version) return;
+  history_.Note(now, routes_, routes, succession);
   routes_ = std::move(routes);
   for (auto it = flows_.begin(); it != flows_.end();) {
     if (routes_.Find(it->first.service) != nullptr) {
--- a/packages/steering/src/flow_prober.cc
+++ b/packages/steering/src/flow_prober.cc
@@ -8,8 +8,7 @@
 namespace sesamesaddle {
 
 void FlowProber::Search(TimePoint now, const Flow& flow, const PacketHead& head,
-                        std::string packet,
-                        const std::vector<std::string>& services,
+                        std::string packet, const SearchScope& scope,
                         const std::vector<Endpoint>& likely,
                         const std::vector<Endpoint>& denied) {
   const auto [it, added] = searches_.try_emplace(flow);
@@ -18,7 +17,7 @@
   for (const Endpoint& agent : denied) search.denied.insert(agent);
   if (added) {
     search.started = now;
-    search.services = services;
+    search.scope = scope;
   } else {
     // Targets that decide get the further packets of the flow as well.
     for (const Endpoint& agent : search.unsure) {
@@ -39,7 +38,7 @@
     }
   }
   if (first.empty()) {
-    for (const std::string& service : search.services) {
+    for (const std::string& service : search.scope.services) {
       for (AgentView* view :
            FlowCandidates(flow, topology_, directory_.OfService(service))) {
         if (search.denied.count(view->agent) == 0) first.push_back(view);
@@ -77,13 +76,12 @@
            search.denied.count(view->agent) == 0;
   };
   std::vector<AgentView*> next;
-  for (const std::string& service : search.services) {
+  for (const std::string& service : search.scope.services) {
     for (AgentView* view : directory_.OfService(service)) {
       if (open(view)) next.push_back(view);
     }
   }
-  // An earlier configuration may have sent the flow to another service.
-  if (next.empty()) {
+  if (next.empty() && search.scope.everywhere) {
     for (AgentView* view : directory_.All()) {
       if (open(view)) next.push_back(view);
     }
@@ -152,11 +150,19 @@
 }
 
 bool FlowProber::AllDenied(const SearchState& search) {
-  if (search.denied.size() < directory_.size()) return false;
-  for (const AgentView* view : directory_.All()) {
-    if (search.denied.count(view->agent) == 0) return false;
+  const auto denied = [&search](const AgentView* view) {
+    return search.denied.count(view->agent) != 0;
+  };
+  if (search.scope.everywhere) {
+    if (search.denied.size() < directory_.size()) return false;
+    const std::vector<AgentView*> all = directory_.All();
+    return std::all_of(all.begin(), all.end(), denied);
   }
-  return true;
+  return std::all_of(search.scope.services.begin(), search.scope.services.end(),
+                     [&](const std::string& service) {
+                       const auto& agents = directory_.OfService(service);
+                       return std::all_of(agents.begin(), agents.end(), denied);
+                     });
 }
 
 void FlowProber::OnTick(TimePoint now) {
--- /dev/null
+++ b/packages/steering/src/route_history.cc
@@ -0,0 +1,63 @@
+#include "steering/route_history.h"
+
+#include <algorithm>
+
+namespace sesamesaddle {
+namespace {
+
+bool LeadsTo(const Route* route, const std::string& service) {
+  return route != nullptr &&
+         std::any_of(route->services.begin(), route->services.end(),
+                     [&service](const WeightedService& share) {
+                       return share.service == service;
+                     });
+}
+
+}  // namespace
+
+void RouteHistory::Note(TimePoint now, const RouteTable& before,
+                        const RouteTable& after, Succession succession) {
+  if (!started_ || succession == Succession::kAfterGap) known_since_ = now;
+  started_ = true;
+  Forget(now);
+  for (const auto& [address, route] : before.routes) {
+    const Route* next = after.Find(address);
+    for (const WeightedService& share : route.services) {
+      if (!LeadsTo(next, share.service)) former_[address][share.service] = now;
+    }
+  }
+}
+
+std::vector<std::string> RouteHistory::ServicesOf(TimePoint now,
+                                                  const Endpoint& address,
+                                                  const Route& route) const {
+  std::vector<std::string> services;
+  for (const WeightedService& share : route.services) {
+    services.push_back(share.service);
+  }
+  const auto former = former_.find(address);
+  if (former == former_.end()) return services;
+  for (const auto& [service, until] : former->second) {
+    if (now - until <= lifetime_ && !LeadsTo(&route, service)) {
+      services.push_back(service);
+    }
+  }
+  return services;
+}
+
+bool RouteHistory::Complete(TimePoint now) const {
+  return started_ && now - known_since_ > lifetime_;
+}
+
+void RouteHistory::Forget(TimePoint now) {
+  for (auto it = former_.begin(); it != former_.end();) {
+    auto& services = it->second;
+    for (auto service = services.begin(); service != services.end();) {
+      service = now - service->second > lifetime_ ? services.erase(service)
+                                                  : std::next(service);
+    }
+    it = services.empty() ? former_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace sesamesaddle
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -40,7 +40,8 @@
   void ToClient(const Endpoint& client, std::string_view packet) override;
   void Query(const Endpoint& agent, const schema::FlowQuery& query) override;
   void RefreshDirectory() override { follower_.Refresh(); }
-  void OnConfiguration(const std::string& document, int64_t revision) override;
+  void OnConfiguration(const std::string& document, int64_t revision,
+                       bool gap) override;
   void OnEntry(const std::string& key, const std::string& value,
                int64_t revision) override;
   void OnEntryRemoved(const std::string& key, int64_t revision) override;
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -38,8 +38,8 @@
       settings_(std::move(settings)),
       settings_watcher_(parts.settings_source, parts.log),
       placement_(MakePlacement(placement, TopologyOf(settings_), directory_)),
-      balancer_(TopologyOf(settings_), parts.codec, directory_, *placement_,
-                *this, parts.log),
+      balancer_({TopologyOf(settings_), settings_.flow_lifetime}, parts.codec,
+                directory_, *placement_, *this, parts.log),
       follower_(parts.store, parts.scheduler, parts.random, parts.log,
                 Keys(parts.decoder), FollowerTimes(),
                 ReadAllowance(settings_.store_reads_per_second), *this),
@@ -153,7 +153,7 @@
 }
 
 void BalancerProcess::OnConfiguration(const std::string& document,
-                                      int64_t revision) {
+                                      int64_t revision, bool gap) {
   auto routes = parts_.decoder.Decode(document);
   if (!routes) {
     LogLine(parts_.log, EventKind::kBelief, kPart, "configuration-refused")
@@ -167,7 +167,8 @@
       .Add("revision", revision)
       .Add("routes", routes->routes.size());
   configured_ = true;
-  balancer_.Apply(parts_.loop.Now(), std::move(*routes));
+  balancer_.Apply(parts_.loop.Now(), std::move(*routes),
+                  gap ? Succession::kAfterGap : Succession::kNext);
   Flush();
 }
 
--- a/packages/steering_daemon/tests/steering_commands_test.cc
+++ b/packages/steering_daemon/tests/steering_commands_test.cc
@@ -106,7 +106,7 @@
   TargetDirectory directory;
   LeastWaitPlacement placement{Topology("montreal"), directory};
   FlowBalancer balancer{
-      Topology("montreal"), codec, directory, placement, output, log};
+      {Topology("montreal")}, codec, directory, placement, output, log};
   FlowAgent agent{
       kNow,  {Endpoint(0x0a010001, 8172), "orders", std::chrono::seconds(60)},
       codec, output,
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -32,7 +32,7 @@
       : world(world),
         index(index),
         placement(MakePlacement(world.placement_, Topology("zone"), directory)),
-        flows(Topology("zone"), world.codec_, directory, *placement, *this,
+        flows({Topology("zone")}, world.codec_, directory, *placement, *this,
               world.log_) {
     flows.SetCurrent(true);
     flows.Apply(world.scheduler.Now(), world.routes);
@@ -61,7 +61,8 @@
       : world(world),
         index(index),
         flows(world.scheduler.Now(),
-              {AgentAddress(index), kService, std::chrono::seconds(60)},
+              {AgentAddress(index), world.ServiceOf(index),
+               std::chrono::seconds(60)},
               world.codec_, *this, world.log_, observer) {}
 
   void ToTarget(std::string_view packet) override {
@@ -225,7 +226,7 @@
   schema::TargetRecord record;
   record.id = "t" + std::to_string(i);
   record.born_ms = targets[i]->starts;
-  record.service_name = kService;
+  record.service_name = ServiceOf(i);
   record.agent = AgentAddress(i).Pack();
   record.zone = "zone";
   record.slots = targets[i]->slots;
@@ -235,12 +236,25 @@
   return record;
 }
 
+std::string SteeringWorld::ServiceOf(size_t i) const {
+  const auto it = services_.find(i);
+  return it == services_.end() ? kService : it->second;
+}
+
+void SteeringWorld::SetService(size_t i, const std::string& service) {
+  services_[i] = service;
+  targets[i]->Start();
+  KillAgent(i);
+  StartAgent(i);
+  AnnounceStart(i);
+}
+
 void SteeringWorld::Announce(size_t i, bool draining) {
   if (draining) draining_.insert(i);
   TargetAnnouncement announcement;
   announcement.id = "t" + std::to_string(i);
   announcement.born_ms = targets[i]->starts;
-  announcement.service = kService;
+  announcement.service = ServiceOf(i);
   announcement.slots = targets[i]->slots;
   announcement.draining = draining;
   announcement.sequence = ++sequences_[i];
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -144,6 +144,8 @@
   /** The same as the first announcement of a target that has just started. */
   void AnnounceStart(size_t i);
   void RemoveEntry(size_t i);
+  /** The target starts anew, of another service. */
+  void SetService(size_t i, const std::string& service);
   /** The store lists the target; balancers see it as their watches tell. */
   void List(size_t i, bool draining = false);
   VirtualFlowClient& AddClient(bool keeps_flow);
@@ -205,6 +207,10 @@
   std::vector<std::unique_ptr<Balancer>> stopped_balancers_;
   std::vector<std::unique_ptr<Agent>> stopped_agents_;
   int64_t revision_ = 1;
+  std::string ServiceOf(size_t i) const;
+
+  /** Services of targets other than kService. */
+  std::map<size_t, std::string> services_;
   std::map<size_t, int64_t> sequences_;
   std::set<size_t> draining_;
   /** Revisions of the entries that the store lists. */
