A target that starts while its clock is set back is listed again

Cause, found by reading: starts of a target are ordered by the time that it gives for its own start. If its machine's clock is set back by more than it was down, the next start has an earlier time, and the agent took every announcement of it for a late one of a dead target, for as long as the target lived.

Change: an unknown target with an earlier start is believed once it has gone on announcing itself for a second while the present one was not heard. Targets that were replaced are remembered, so that their late announcements stay stale.

Ruled out: the order of arrival alone (an announcement held up by a partition may come after its sender's successor).

Tests: "A target that starts while its clock is set back is believed" (failed before: stale three times), "Late announcements of a target before replace no living one".

--- a/packages/steering/include/steering/target_health.h
+++ b/packages/steering/include/steering/target_health.h
@@ -2,6 +2,8 @@
 #define SESAMESADDLE_STEERING_TARGET_HEALTH_H_
 
 #include <cstdint>
+#include <deque>
+#include <optional>
 #include <string>
 
 #include "core/time.h"
@@ -12,7 +14,10 @@
 /** What a target says of itself from time to time. */
 struct TargetAnnouncement {
   std::string id;
-  /** Start of the target, Unix milliseconds; 0 if it does not say. */
+  /**
+   * Start of the target, Unix milliseconds by its own clock, which may have
+   * been set back since an earlier start; 0 if it does not say.
+   */
   int64_t born_ms = 0;
   std::string service;
   std::string zone;
@@ -40,6 +45,14 @@
   static constexpr Duration kSilenceLimit = std::chrono::milliseconds(150);
   /** Fewer unanswered packets may have been lost on their way. */
   static constexpr int kSilentPackets = 2;
+  /**
+   * An unknown target with an earlier start than the present one is believed
+   * once it has announced itself for so long while the present one did not:
+   * most of the time between two announcements.
+   */
+  static constexpr Duration kRivalTime = std::chrono::seconds(1);
+  /** Earlier targets that are remembered for their late announcements. */
+  static constexpr size_t kMaxPast = 8;
 
   AnnouncementEffect OnAnnouncement(TimePoint now,
                                     const TargetAnnouncement& announcement);
@@ -63,7 +76,17 @@
   const TargetAnnouncement& announcement() const { return announcement_; }
 
  private:
+  static bool SameStart(const TargetAnnouncement& a,
+                        const TargetAnnouncement& b);
+  bool IsPast(const TargetAnnouncement& announcement) const;
+  /** @return whether the one with the earlier start is the living one. */
+  bool ConfirmRival(TimePoint now, const TargetAnnouncement& announcement);
+
   TargetAnnouncement announcement_;
+  /** Targets that others have taken the place of. */
+  std::deque<TargetAnnouncement> past_;
+  std::optional<TargetAnnouncement> rival_;
+  TimePoint rival_since_{};
   schema::TargetState::type state_ = schema::TargetState::kUnknown;
   bool unreachable_ = false;
   int unanswered_ = 0;
--- a/packages/steering/src/target_health.cc
+++ b/packages/steering/src/target_health.cc
@@ -1,18 +1,49 @@
 #include "steering/target_health.h"
 
+#include <algorithm>
+
 namespace sesamesaddle {
 
+bool TargetHealth::SameStart(const TargetAnnouncement& a,
+                             const TargetAnnouncement& b) {
+  return a.id == b.id && a.born_ms == b.born_ms;
+}
+
+bool TargetHealth::IsPast(const TargetAnnouncement& announcement) const {
+  return std::any_of(past_.begin(), past_.end(), [&](const auto& past) {
+    return SameStart(past, announcement);
+  });
+}
+
+bool TargetHealth::ConfirmRival(TimePoint now,
+                                const TargetAnnouncement& announcement) {
+  if (!rival_ || !SameStart(*rival_, announcement)) {
+    rival_ = announcement;
+    rival_since_ = now;
+    return false;
+  }
+  if (announcement.sequence <= rival_->sequence) return false;
+  rival_->sequence = announcement.sequence;
+  return now - rival_since_ >= kRivalTime;
+}
+
 AnnouncementEffect TargetHealth::OnAnnouncement(
     TimePoint now, const TargetAnnouncement& announcement) {
-  const bool same = known() && announcement.id == announcement_.id &&
-                    announcement.born_ms == announcement_.born_ms;
+  const bool same = known() && SameStart(announcement, announcement_);
   // A target that has ended does not come back; an announcement may be late.
   if (same && (gone() || announcement.sequence <= announcement_.sequence)) {
     return AnnouncementEffect::kStale;
   }
-  if (!same && known() && announcement.born_ms < announcement_.born_ms) {
-    return AnnouncementEffect::kStale;
+  if (!same && known()) {
+    if (IsPast(announcement)) return AnnouncementEffect::kStale;
+    if (announcement.born_ms < announcement_.born_ms &&
+        !ConfirmRival(now, announcement)) {
+      return AnnouncementEffect::kStale;
+    }
+    past_.push_back(announcement_);
+    if (past_.size() > kMaxPast) past_.pop_front();
   }
+  rival_.reset();
   const auto next = announcement.draining ? schema::TargetState::kDraining
                                           : schema::TargetState::kReady;
   const bool changed = !same || next != state_ ||
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -248,6 +248,49 @@
   CHECK(health.TakesFlows(kNow));
 }
 
+TEST_CASE("A target that starts while its clock is set back is believed") {
+  using Effect = AnnouncementEffect;
+  TargetHealth health;
+  health.OnAnnouncement(kNow, MakeAnnouncement("a", 9000, 7));
+  // It crashed, and its clock was set back by more than it was down.
+  const auto again = [](int64_t sequence) {
+    return MakeAnnouncement("b", 6000, sequence);
+  };
+  CHECK(health.OnAnnouncement(kNow + seconds(2), again(1)) == Effect::kStale);
+  CHECK(health.OnAnnouncement(kNow + milliseconds(2100), again(2)) ==
+        Effect::kStale);
+  CHECK(health.OnAnnouncement(kNow + milliseconds(3200), again(3)) ==
+        Effect::kOtherTarget);
+  CHECK(health.announcement().id == "b");
+  // What the one before has still under way is late for good.
+  for (int64_t i = 8; i < 12; ++i) {
+    CHECK(health.OnAnnouncement(kNow + seconds(i),
+                                MakeAnnouncement("a", 9000, i)) ==
+          Effect::kStale);
+  }
+  CHECK(health.announcement().id == "b");
+}
+
+TEST_CASE("Late announcements of a target before replace no living one") {
+  using Effect = AnnouncementEffect;
+  TargetHealth health;
+  health.OnAnnouncement(kNow, MakeAnnouncement("b", 9000, 1));
+  // This agent started later and never knew the one before.
+  for (int64_t i = 1; i < 6; ++i) {
+    CHECK(health.OnAnnouncement(kNow + seconds(i),
+                                MakeAnnouncement("a", 6000, i)) ==
+          Effect::kStale);
+    CHECK(health.OnAnnouncement(kNow + seconds(i) + milliseconds(500),
+                                MakeAnnouncement("b", 9000, i + 1)) ==
+          Effect::kNothing);
+  }
+  // Nor does one that comes twice at once.
+  health.OnAnnouncement(kNow + seconds(7), MakeAnnouncement("a", 6000, 7));
+  CHECK(health.OnAnnouncement(kNow + seconds(7),
+                              MakeAnnouncement("a", 6000, 8)) ==
+        Effect::kStale);
+}
+
 TEST_CASE("A target takes flows only when it is known, ready and answering") {
   TargetHealth health;
   CHECK_FALSE(health.TakesFlows(kNow));
