--- a/packages/registry/tests/registry_test.cc
+++ b/packages/registry/tests/registry_test.cc
@@ -9,6 +9,7 @@
 #include "memory_store.h"
 #include "registry/registration.h"
 #include "registry/replica_follower.h"
+#include "schema/codec.h"
 #include "silent_log.h"
 #include "virtual_scheduler.h"
 
@@ -348,6 +349,23 @@
   CHECK(f.recorder.gaps == 2);
 }
 
+TEST_CASE("A copy of the largest fleet's replica can be read by a peer") {
+  constexpr int kEntries = 8230;
+  constexpr int kRoutes = 2800;
+  Following f;
+  f.Configure(std::string(size_t{300} * kRoutes, 'r'));
+  for (int i = 0; i < kEntries; ++i) {
+    f.memory.Create("dir/target/10.128.000.000:8172-" + std::to_string(i),
+                    std::string(100, 'x'), kNoLease);
+  }
+  f.follower.Start();
+  f.scheduler.RunFor(milliseconds(100));
+  const std::string bytes = EncodeCompact(f.follower.Snapshot());
+  const auto copy = DecodeCompact<schema::ReplicaSnapshot>(bytes);
+  REQUIRE(copy.has_value());
+  CHECK(copy->entries.size() == kEntries);
+}
+
 TEST_CASE("A refresh takes the place of the watch that would come next") {
   Gathering f;
   int watches = 0;
