Soak: the configuration changes all the while, and targets' clocks are set back

Cause: the soak wrote one configuration at its start, and every target's start had a later time than the one before; neither promise (in force within seconds, never back; a target that starts is listed) was under fault there.

Change: ConfigurationChanges plays the operators. Every 1.3 s a version with a route that no other has; SYNs to these routes through each balancer tell which version it has. Checked: in force everywhere three seconds into the calm time (all modes), never back within a process (planned).

--- /dev/null
+++ b/tools/soak/configuration_changes.cc
@@ -0,0 +1,153 @@
+#include "configuration_changes.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "packet_world.h"
+#include "platform/base64.h"
+
+namespace sesamesaddle {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kChange = std::chrono::milliseconds(1300);
+constexpr Duration kWriteTimeout = std::chrono::milliseconds(400);
+constexpr Duration kAsk = std::chrono::milliseconds(200);
+// Bounds of the users' sites: a version is in force after the first one, and
+// after the second one a balancer that showed it must not go back.
+constexpr Duration kInForce = std::chrono::milliseconds(3000);
+constexpr Duration kBack = std::chrono::milliseconds(250);
+constexpr uint16_t kFirstProbePort = 9000;
+
+Json RouteJson(const std::string& name, const Endpoint& address,
+               const std::string& service, int version) {
+  const std::string text = address.ToString();
+  return {{"name", name},
+          {"host", text.substr(0, text.find(':'))},
+          {"prefix", "/" + std::to_string(address.port()) + "/"},
+          {"type", "idempotent"},
+          {"timeoutMs", 2500 + 100 * (version % 5)},
+          {"targetLatencyMs", 200},
+          {"priority", 1},
+          {"service", service}};
+}
+
+}  // namespace
+
+ConfigurationChanges::ConfigurationChanges(PacketWorld& world)
+    : world_(world),
+      store_(world.loop, *Endpoint::Parse(world.options.store)),
+      balancers_(static_cast<size_t>(world.options.balancers)) {
+  auto socket = PacketSocket::Open(
+      world.loop,
+      world.options.Client(world.options.clients, SoakOptions::kPackets),
+      {[this](const Endpoint& /*from*/, char* bytes, size_t size) {
+         OnPacket(bytes, size);
+       },
+       [] {}, nullptr});
+  socket_ = std::move(*socket);
+}
+
+Endpoint ConfigurationChanges::RouteOf(int version) {
+  return {0xc6120003, static_cast<uint16_t>(kFirstProbePort + version)};
+}
+
+std::string ConfigurationChanges::DocumentOf(int version) {
+  const Json document = {
+      {"version", version},
+      {"routes", Json::array({RouteJson("orders", SoakOptions::OrdersRoute(),
+                                        "orders", version),
+                              RouteJson("reports", SoakOptions::ReportsRoute(),
+                                        "reports", version),
+                              RouteJson("probe-" + std::to_string(version),
+                                        RouteOf(version), "orders", version)})},
+      {"services", Json::array()},
+      {"limits", {{"idleTimeoutMs", 15000}}}};
+  return document.dump();
+}
+
+void ConfigurationChanges::Start() {
+  Write();
+  if (!world_.options.changes) return;
+  timers_.push_back(world_.loop.Every(kChange, [this] {
+    if (acknowledged_ < wanted_ || world_.calm()) return;
+    ++wanted_;
+    Write();
+  }));
+  timers_.push_back(world_.loop.Every(kAsk, [this] { Ask(); }));
+}
+
+void ConfigurationChanges::Write() {
+  const int version = wanted_;
+  const Json body = {
+      {"precondition", Json::array()},
+      {"writes", Json::array({{{"key", "op/config"},
+                               {"value", EncodeBase64(DocumentOf(version))},
+                               {"lease", 0}}})},
+      {"remove", Json::array()}};
+  HttpRequest request;
+  request.method = "POST";
+  request.path = "/v1/kv-txn";
+  request.body = body.dump();
+  call_ = store_.Call(request, ConnectionUse::kFresh,
+                      [this, version](HttpResult result) {
+                        if (!result.whole || result.response.status != 200)
+                          return;
+                        if (acknowledged_ < version) ++world_.verdict.versions;
+                        acknowledged_ = version;
+                      });
+  // Written again until the store says that it has it.
+  world_.loop.Schedule(kWriteTimeout, [this, version] {
+    if (acknowledged_ < version) Write();
+  });
+}
+
+void ConfigurationChanges::Ask() {
+  if (acknowledged_ == 0) return;
+  for (int i = 0; i < world_.options.balancers; ++i) {
+    BalancerView& view = balancers_[static_cast<size_t>(i)];
+    if (!world_.InRotation(i)) view = BalancerView();
+    AskFor(i, acknowledged_);
+    if (view.version > 1) AskFor(i, view.version - 1);
+  }
+  if (asked_in_calm_ || world_.SinceCalm() < kInForce) return;
+  asked_in_calm_ = true;
+  for (const BalancerView& view : balancers_) {
+    if (view.version != acknowledged_) ++world_.verdict.versions_late;
+  }
+}
+
+void ConfigurationChanges::AskFor(int balancer, int version) {
+  next_port_ = static_cast<uint16_t>(std::max<int>(1024, next_port_ + 1));
+  questions_[next_port_] = {balancer, version, world_.loop.Now()};
+  PacketHead head;
+  head.syn = true;
+  head.source = Endpoint(world_.options.Client(world_.options.clients, 0).ip(),
+                         next_port_);
+  head.destination = RouteOf(version);
+  world_.Send(balancer, PacketWorld::MakePacket(head, ""));
+}
+
+void ConfigurationChanges::OnPacket(char* bytes, size_t size) {
+  const auto head = world_.codec.Decode(std::string_view(bytes, size));
+  if (!head) return;
+  const auto it = questions_.find(head->destination.port());
+  if (it == questions_.end()) return;
+  const Question question = it->second;
+  questions_.erase(it);
+  if (head->syn) OnVersionShown(question);
+}
+
+void ConfigurationChanges::OnVersionShown(const Question& question) {
+  BalancerView& view = balancers_[static_cast<size_t>(question.balancer)];
+  if (question.version >= view.version) {
+    if (question.version > view.version) view.shown = world_.loop.Now();
+    view.version = question.version;
+  } else if (question.sent > view.shown + kBack) {
+    ++world_.verdict.versions_back;
+  }
+}
+
+}  // namespace sesamesaddle
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -22,6 +22,8 @@
   app.add_option("--lost-packets", options.lost_packets, "Of a thousand");
   app.add_flag("--crashes,!--no-crashes", options.crashes);
   app.add_flag("--drains,!--no-drains", options.drains);
+  app.add_flag("--changes,!--no-changes", options.changes,
+               "Change the configuration again and again");
   app.add_flag("--planned", planned, "Faults are planned: no flow may break");
   CLI11_PARSE(app, argc, argv);
   signal(SIGPIPE, SIG_IGN);
@@ -32,18 +34,19 @@
   const bool held = seen.duplicate_runs == 0 && seen.wrong_service == 0 &&
                     seen.wrong_answers == 0 && seen.changed_packets == 0 &&
                     seen.calm_requests > 0 && seen.calm_failed == 0 &&
-                    seen.flows_after_drain == 0 &&
-                    (!planned || seen.resets == 0);
+                    seen.flows_after_drain == 0 && seen.versions_late == 0 &&
+                    (!planned || (seen.resets == 0 && seen.versions_back == 0));
   printf(
       "soak: requests=%ld answered=%ld calm_requests=%ld calm_answered=%ld "
       "calm_failed=%ld "
       "resets=%ld duplicate_runs=%ld wrong_service=%ld wrong_answers=%ld "
       "changed_packets=%ld shed=%ld flows_after_drain=%ld crashes=%ld "
-      "drains=%ld verdict=%s\n",
+      "drains=%ld versions=%ld versions_late=%ld versions_back=%ld "
+      "verdict=%s\n",
       seen.requests, seen.answered, seen.calm_requests, seen.calm_answered,
       seen.calm_failed, seen.resets, seen.duplicate_runs, seen.wrong_service,
       seen.wrong_answers, seen.changed_packets, seen.shed,
-      seen.flows_after_drain, seen.crashes, seen.drains,
-      held ? "held" : "BROKEN");
+      seen.flows_after_drain, seen.crashes, seen.drains, seen.versions,
+      seen.versions_late, seen.versions_back, held ? "held" : "BROKEN");
   return held ? 0 : 1;
 }
--- a/tools/soak/run.sh
+++ b/tools/soak/run.sh
@@ -124,7 +124,7 @@
 status=$?
 echo "seed $SEED $MODE: $(tail -n 1 "$WORK/world.log")"
 if [ $status -ne 0 ]; then
-  cat "$WORK/plan.log"
+  [ -f "$WORK/plan.log" ] && cat "$WORK/plan.log"
   echo "logs: $WORK"
 else
   rm -rf "$WORK"
--- /dev/null
+++ b/tools/soak/soak_client.h
@@ -0,0 +1,52 @@
+#ifndef SESAMESADDLE_TOOLS_SOAK_SOAK_CLIENT_H_
+#define SESAMESADDLE_TOOLS_SOAK_SOAK_CLIENT_H_
+
+#include <memory>
+#include <string>
+
+#include "net/packet_socket.h"
+#include "steering/packet.h"
+
+namespace sesamesaddle {
+
+class PacketWorld;
+
+/** A client that keeps one flow open, or opens one for each request. */
+class SoakClient {
+ public:
+  SoakClient(PacketWorld& world, int index, Endpoint route, bool keeps_flow);
+  void Start();
+
+ private:
+  void Request();
+  void Try();
+  void SendSyn(int64_t attempt);
+  void SendRequest(int64_t attempt, Duration next);
+  void Send(const PacketHead& head, const std::string& payload);
+  void OnPacket(char* bytes, size_t size);
+  void Finish(bool answered);
+  /** Tries the request again on another flow, if there are tries left. */
+  void Again();
+  /** Ends the open flow. */
+  void Close();
+
+  PacketWorld& world_;
+  int index_;
+  Endpoint route_;
+  bool keeps_flow_;
+  std::unique_ptr<PacketSocket> socket_;
+  bool busy_ = false;
+  bool open_ = false;
+  bool calm_ = false;
+  uint16_t port_;
+  int64_t attempt_ = 0;
+  int64_t next_id_ = 0;
+  int tries_ = 0;
+  uint32_t sequence_ = 1;
+  uint32_t server_sequence_ = 0;
+  std::string id_;
+};
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_TOOLS_SOAK_SOAK_CLIENT_H_
--- /dev/null
+++ b/tools/soak/soak_options.h
@@ -0,0 +1,85 @@
+#ifndef SESAMESADDLE_TOOLS_SOAK_SOAK_OPTIONS_H_
+#define SESAMESADDLE_TOOLS_SOAK_SOAK_OPTIONS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "core/endpoint.h"
+
+namespace sesamesaddle {
+
+/** Sizes and addresses of a soak; every instance has its own loopback address.
+ */
+struct SoakOptions {
+  int balancers = 3;
+  int targets = 5;
+  int clients = 40;
+  int seconds = 20;
+  /** Without faults from outside, at the end: everything must be answered. */
+  int calm_seconds = 6;
+  uint64_t seed = 1;
+  uint16_t base_port = 25000;
+  std::string store = "127.0.0.1:25100";
+  /** Of a thousand packets of clients, and of those that reach them. */
+  int lost_packets = 5;
+  /** Targets crash, lose their flows and start anew. */
+  bool crashes = true;
+  /** Targets drain and are replaced. */
+  bool drains = true;
+  /** The operators change the configuration again and again. */
+  bool changes = true;
+
+  Endpoint Balancer(int i, int port) const { return Address(1, i, port); }
+  Endpoint Target(int i, int port) const { return Address(2, i, port); }
+  Endpoint Client(int i, int port) const { return Address(3, i, port); }
+
+  /** Address and port of the routes to the two services. */
+  static Endpoint OrdersRoute() { return {0xc6120001, 8443}; }
+  static Endpoint ReportsRoute() { return {0xc6120002, 8080}; }
+
+  static constexpr int kPackets = 0;
+  static constexpr int kReadiness = 1;
+  static constexpr int kControl = 2;
+  static constexpr int kOutbound = 3;
+  static constexpr int kApp = 4;
+
+ private:
+  Endpoint Address(uint32_t kind, int i, int port) const {
+    return {(127U << 24) | (kind << 16) | static_cast<uint32_t>(i + 1),
+            static_cast<uint16_t>(base_port + port)};
+  }
+};
+
+/** What callers and targets saw. */
+struct SoakVerdict {
+  int64_t requests = 0;
+  int64_t answered = 0;
+  int64_t calm_requests = 0;
+  int64_t calm_answered = 0;
+  /** Asked in the calm time and given up. */
+  int64_t calm_failed = 0;
+  int64_t duplicate_runs = 0;
+  int64_t wrong_service = 0;
+  int64_t wrong_answers = 0;
+  int64_t changed_packets = 0;
+  int64_t resets = 0;
+  /** Rejected by targets whose queues were full. */
+  int64_t shed = 0;
+  /** New flows delivered to a target long after its drain was acknowledged. */
+  int64_t flows_after_drain = 0;
+  int64_t crashes = 0;
+  int64_t drains = 0;
+  /** Versions of the configuration that the store acknowledged. */
+  int64_t versions = 0;
+  /** Balancers that had not the newest version a while into the calm time. */
+  int64_t versions_late = 0;
+  /** Answers by an older version than the balancer had shown before. */
+  int64_t versions_back = 0;
+};
+
+/** Requests that may run once only say so in their id. */
+inline bool RunsOnce(const std::string& id) { return id[0] == 'w'; }
+
+}  // namespace sesamesaddle
+
+#endif  // SESAMESADDLE_TOOLS_SOAK_SOAK_OPTIONS_H_
--- /dev/null
+++ b/tools/soak/soak_target.cc
@@ -0,0 +1,219 @@
+#include "soak_target.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "core/time.h"
+#include "packet_world.h"
+
+namespace sesamesaddle {
+namespace {
+
+constexpr Duration kHeartbeat = std::chrono::milliseconds(400);
+constexpr Duration kWork = std::chrono::milliseconds(20);
+constexpr int kSlots = 3;
+constexpr size_t kQueueLimit = 6;
+// A target that has just started takes three times as long.
+constexpr Duration kSlowStart = std::chrono::milliseconds(1500);
+constexpr int kSlowness = 3;
+constexpr Duration kDrainTime = std::chrono::milliseconds(2500);
+// Bound on new flows after an acknowledged drain, as the users' sites have it.
+constexpr Duration kDrainBound = std::chrono::milliseconds(3000);
+constexpr int64_t kClockStepMs = 2000;
+
+}  // namespace
+
+SoakTarget::SoakTarget(PacketWorld& world, int index, std::string service)
+    : world_(world),
+      index_(index),
+      service_(std::move(service)),
+      agent_(world.loop, world.options.Target(index, SoakOptions::kControl)) {
+  auto socket = PacketSocket::Open(
+      world.loop, world.options.Target(index, SoakOptions::kApp),
+      {[this](const Endpoint& /*from*/, char* bytes, size_t size) {
+         OnPacket(bytes, size);
+       },
+       [] {}, nullptr});
+  socket_ = std::move(*socket);
+  Crash();
+}
+
+std::string SoakTarget::Id() const {
+  return "t" + std::to_string(index_) + "-" + std::to_string(incarnation_);
+}
+
+void SoakTarget::Crash() {
+  flows_.clear();
+  queue_.clear();
+  working_ = 0;
+  sequence_ = 0;
+  ++incarnation_;
+  // Another than that of the incarnation before, also within a millisecond. The
+  // machine's clock may have been set back since.
+  const bool set_back = world_.random.Below(4) == 0;
+  born_ms_ = set_back ? born_ms_ - kClockStepMs
+                      : std::max(born_ms_ + 1, WallClockMs());
+  started_ = world_.loop.Now();
+  draining_ = false;
+  drain_acknowledged_ = TimePoint();
+  Announce();
+}
+
+void SoakTarget::Drain() {
+  draining_ = true;
+  Announce();
+  const int incarnation = incarnation_;
+  world_.loop.Schedule(kDrainTime, [this, incarnation] {
+    if (incarnation != incarnation_) return;
+    Call("/v1/instances/" + Id() + "/deregister", "{}", [] {});
+    world_.loop.Schedule(kHeartbeat, [this, incarnation] {
+      if (incarnation == incarnation_) Crash();
+    });
+  });
+}
+
+void SoakTarget::Announce() {
+  const auto slow_left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(Duration::zero(), kSlowStart - (world_.loop.Now() - started_)));
+  const nlohmann::json body = {
+      {"service", service_},
+      {"address", world_.options.Target(index_, SoakOptions::kApp).ToString()},
+      {"zone", "z" + std::to_string(index_ % 2)},
+      {"version", "v1"},
+      {"capacity", kSlots},
+      {"state", draining_ ? "draining" : "ready"},
+      {"slowStartMs", slow_left.count()},
+      {"seq", ++sequence_},
+      {"born", born_ms_}};
+  const bool draining = draining_;
+  Call("/v1/instances/" + Id() + "/heartbeat", body.dump(), [this, draining] {
+    if (draining && draining_ && drain_acknowledged_ == TimePoint()) {
+      drain_acknowledged_ = world_.loop.Now();
+    }
+  });
+}
+
+void SoakTarget::Call(const std::string& path, const std::string& body,
+                      std::function<void()> acknowledged) {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = path;
+  request.body = body;
+  call_ =
+      agent_.Call(request, ConnectionUse::kFresh,
+                  [acknowledged = std::move(acknowledged)](HttpResult result) {
+                    if (result.whole && result.response.status == 200) {
+                      acknowledged();
+                    }
+                  });
+}
+
+void SoakTarget::Send(const std::string& packet) {
+  socket_->Queue(world_.options.Target(index_, SoakOptions::kOutbound), packet);
+  socket_->Flush();
+}
+
+void SoakTarget::OnPacket(char* bytes, size_t size) {
+  const std::string_view packet(bytes, size);
+  const auto head = world_.codec.Decode(packet);
+  if (!head) return;
+  const Flow flow{head->source, head->destination};
+  uint32_t sum = 0;
+  for (size_t i = 0; i < 4; ++i) {
+    sum = (sum << 8) |
+          static_cast<uint8_t>(bytes[PacketWorld::kChecksumOffset + i]);
+  }
+  if (sum != PacketWorld::Checksum(packet)) ++world_.verdict.changed_packets;
+  if (head->syn) {
+    OnSyn(flow, *head);
+    return;
+  }
+  const auto known = flows_.find(flow);
+  const bool held =
+      known != flows_.end() &&
+      (known->second.open || head->acknowledged == known->second.sequence + 1);
+  if (!held) {
+    bytes[2] = static_cast<char>(bytes[2] | 2);
+    std::fill(bytes + 3, bytes + 6, '\0');
+    Send(std::string(packet));
+    return;
+  }
+  known->second.open = true;
+  if (head->fin || head->reset) {
+    flows_.erase(known);
+    return;
+  }
+  if (head->payload_bytes == 0) return;
+  OnRequest(flow, known->second, *head,
+            std::string(packet.substr(PlatformPacketCodec::kHeadBytes)));
+}
+
+void SoakTarget::OnSyn(const Flow& flow, const PacketHead& head) {
+  Held& entry = flows_[flow];
+  if (entry.client_sequence != head.sequence && !entry.open) {
+    entry = Held();
+    entry.client_sequence = head.sequence;
+    entry.sequence = static_cast<uint32_t>(world_.random.Next());
+    const bool late = drain_acknowledged_ != TimePoint() &&
+                      world_.loop.Now() - drain_acknowledged_ > kDrainBound;
+    if (late) ++world_.verdict.flows_after_drain;
+  }
+  PacketHead answer;
+  answer.source = flow.service;
+  answer.destination = flow.caller;
+  answer.syn = answer.ack = true;
+  answer.sequence = entry.sequence;
+  Send(PacketWorld::MakePacket(answer, ""));
+}
+
+void SoakTarget::OnRequest(const Flow& flow, Held& entry,
+                           const PacketHead& head, const std::string& id) {
+  const uint32_t end = head.sequence + head.payload_bytes;
+  if (static_cast<int32_t>(end - entry.client_sequence) <= 0) {
+    // A repetition, because the answer was lost or is still to come.
+    if (entry.answered == id) Answer(flow, "done " + id);
+    return;
+  }
+  if (queue_.size() >= kQueueLimit) {
+    ++world_.verdict.shed;
+    Answer(flow, "shed " + id);
+    return;
+  }
+  entry.client_sequence = end;
+  world_.OnRun(service_, id);
+  queue_.push_back({flow, id});
+  Serve();
+}
+
+void SoakTarget::Serve() {
+  while (working_ < kSlots && !queue_.empty()) {
+    const Waiting waiting = queue_.front();
+    queue_.pop_front();
+    ++working_;
+    const int incarnation = incarnation_;
+    const bool slow = world_.loop.Now() - started_ < kSlowStart;
+    world_.loop.Schedule(kWork * (slow ? kSlowness : 1),
+                         [this, waiting, incarnation] {
+                           if (incarnation != incarnation_) return;
+                           --working_;
+                           const auto held = flows_.find(waiting.flow);
+                           if (held != flows_.end()) {
+                             held->second.answered = waiting.id;
+                             Answer(waiting.flow, "done " + waiting.id);
+                           }
+                           Serve();
+                         });
+  }
+}
+
+void SoakTarget::Answer(const Flow& flow, const std::string& text) {
+  PacketHead head;
+  head.source = flow.service;
+  head.destination = flow.caller;
+  head.ack = true;
+  head.fin = draining_;
+  Send(PacketWorld::MakePacket(head, text));
+}
+
+}  // namespace sesamesaddle
