--- a/benchmark/steering_benchmark.cc
+++ b/benchmark/steering_benchmark.cc
@@ -113,6 +113,21 @@
     ->Arg(2000)
     ->Unit(benchmark::kMillisecond);
 
+void BM_DirectoryMemory(benchmark::State& state) {
+  for (auto unused : state) {
+    TargetDirectory directory;
+    const size_t before = mallinfo2().uordblks;
+    for (int64_t i = 0; i < state.range(0); ++i) {
+      directory.Put(kNow, "sesamesaddle/target/" + std::to_string(i),
+                    MakeRecord(i), i + 1);
+    }
+    const size_t after = mallinfo2().uordblks;
+    state.counters["bytes_per_entry"] = static_cast<double>(after - before) /
+                                        static_cast<double>(state.range(0));
+  }
+}
+BENCHMARK(BM_DirectoryMemory)->Arg(500)->Arg(7400)->Iterations(1);
+
 void BM_FlowMemory(benchmark::State& state) {
   for (auto unused : state) {
     Fixture fixture(3);
