Stops of one zone are spread, so that half of it stays in rotation

One of three in rotation is fewer than half, so the routers used all three, also the one that was down until 24.4 s.

Change: a balancer that stops stays in rotation, and forwards as before, until half of its zone's balancers serve without it (ZoneRotation: entries of the directory, and those that vanished within 5 s), at most until the grace would get short. It reads the directory anew first, as a peer may have begun to stop just before.

--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -14,6 +14,7 @@
 #include "steering_daemon/settings_watcher.h"
 #include "steering_daemon/steering_commands.h"
 #include "steering_daemon/steering_process.h"
+#include "steering_daemon/zone_rotation.h"
 
 namespace sesamesaddle {
 
@@ -57,6 +58,8 @@
   void SlowTick();
   void BeginStop();
   void AdvanceStop();
+  /** Waits for its turn to leave the rotation. */
+  void TryToLeave();
   void AddSeeds();
   tl::expected<schema::Table, std::string> TableOf(
       Subject subject) const override;
@@ -72,6 +75,7 @@
   ReplicaFollower follower_;
   ReplicaExchange exchange_;
   Registration registration_;
+  ZoneRotation rotation_;
   std::unique_ptr<PacketSocket> clients_;
   std::unique_ptr<PacketSocket> agents_;
   std::unique_ptr<PacketSocket> control_;
@@ -82,8 +86,11 @@
   EventLoop::Timer exchange_timer_;
   bool fast_timer_set_ = false;
   bool configured_ = false;
+  /** A stop was asked for; `leaving_` once the routers may know of it. */
   bool stopping_ = false;
+  bool leaving_ = false;
   TimePoint stop_began_{};
+  TimePoint leave_began_{};
   TimePoint last_client_packet_{};
   int64_t malformed_control_ = 0;
 };
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -51,7 +51,8 @@
       registration_(parts.store, parts.scheduler, parts.random, parts.log,
                     TimesOfEntry(settings_),
                     DirectoryKeys::OfBalancer(PeerEndpoint(
-                        settings_, settings_.ip, PeerPort::kControl))) {}
+                        settings_, settings_.ip, PeerPort::kControl))),
+      rotation_(settings_.zone) {}
 
 tl::expected<void, NetError> BalancerProcess::Open() {
   auto opened = OpenSockets();
@@ -132,7 +133,7 @@
 }
 
 bool BalancerProcess::Ready() {
-  return !stopping_ && configured_ && follower_.loaded();
+  return !leaving_ && configured_ && follower_.loaded();
 }
 
 void BalancerProcess::ToAgent(const Endpoint& agent, std::string_view packet) {
@@ -179,6 +180,7 @@
     if (!record || record->name == settings_.name) return;
     exchange_.AddPeer(key, Endpoint::Unpack(record->control),
                       Endpoint::Unpack(record->replica));
+    rotation_.OnListed(parts_.loop.Now(), key, record->zone);
     return;
   }
   if (!HasPrefix(key, DirectoryKeys::kTargetPrefix)) return;
@@ -202,6 +204,7 @@
 
 void BalancerProcess::OnEntryRemoved(const std::string& key, int64_t revision) {
   exchange_.RemovePeer(key);
+  rotation_.OnRemoved(parts_.loop.Now(), key);
   LogLine(parts_.log, EventKind::kBelief, kPart, "entry-removed")
       .Add("key", key)
       .Add("revision", revision);
@@ -295,15 +298,33 @@
   stop_began_ = parts_.loop.Now();
   LogLine(parts_.log, EventKind::kProcess, kPart, "stop-begins")
       .Add("flows", balancer_.flow_count());
+  // Peers may have begun to stop just before.
+  follower_.Refresh();
+}
+
+void BalancerProcess::TryToLeave() {
+  const TimePoint now = parts_.loop.Now();
+  const Duration since = now - stop_began_;
+  if (since < kSlowTick) return;  // The refresh is under way.
+  const Duration longest_wait =
+      settings_.stop_grace - kStopReserve - kLeaveRotation - kQuiet;
+  if (since < longest_wait && !rotation_.MayLeave(now)) return;
+  leaving_ = true;
+  leave_began_ = now;
+  LogLine(parts_.log, EventKind::kProcess, kPart, "leaves-rotation")
+      .Add("waited", since)
+      .Add("flows", balancer_.flow_count());
   registration_.Withdraw([] {});
 }
 
 void BalancerProcess::AdvanceStop() {
+  if (!leaving_) TryToLeave();
+  if (!leaving_) return;
   const TimePoint now = parts_.loop.Now();
-  const Duration since = now - stop_began_;
   const bool quiet =
-      since > kLeaveRotation && now - last_client_packet_ > kQuiet;
-  if (quiet || since > settings_.stop_grace - kStopReserve) parts_.loop.Stop();
+      now - leave_began_ > kLeaveRotation && now - last_client_packet_ > kQuiet;
+  const bool late = now - stop_began_ > settings_.stop_grace - kStopReserve;
+  if (quiet || late) parts_.loop.Stop();
 }
 
 CounterValues BalancerProcess::Counters() const {
