A stopping balancer is out of rotation within the platform's time

Change: it stays two seconds at most, which leaves two for the platform's probes. A peer counts as serving 0.6 s after its entry, as the routers ask twice a second.

--- a/packages/steering_daemon/include/steering_daemon/zone_rotation.h
+++ b/packages/steering_daemon/include/steering_daemon/zone_rotation.h
@@ -16,8 +16,9 @@
  */
 class ZoneRotation {
  public:
-  /** Time from a balancer's entry until the routers send it packets. */
-  static constexpr Duration kJoinTime = std::chrono::milliseconds(1000);
+  /** Time from a balancer's entry until the routers, which ask twice a second,
+   * send it packets. */
+  static constexpr Duration kJoinTime = std::chrono::milliseconds(600);
   /** A balancer that was away for longer is not expected back. */
   static constexpr Duration kReturnTime = std::chrono::seconds(5);
 
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -1,5 +1,6 @@
 #include "steering_daemon/balancer_process.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/text.h"
@@ -19,6 +20,9 @@
 constexpr Duration kLeaveRotation = std::chrono::milliseconds(1300);
 // No client's packet for so long: the routers have gone elsewhere.
 constexpr Duration kQuiet = std::chrono::milliseconds(400);
+// The platform wants a process out of rotation four seconds after SIGTERM; two
+// of them are left for its probes.
+constexpr Duration kLongestStay = std::chrono::seconds(2);
 // Left of the time that the platform gives for a stop.
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
 
@@ -307,7 +311,8 @@
   const Duration since = now - stop_began_;
   if (since < kSlowTick) return;  // The refresh is under way.
   const Duration longest_wait =
-      settings_.stop_grace - kStopReserve - kLeaveRotation - kQuiet;
+      std::min(kLongestStay,
+               settings_.stop_grace - kStopReserve - kLeaveRotation - kQuiet);
   if (since < longest_wait && !rotation_.MayLeave(now)) return;
   leaving_ = true;
   leave_began_ = now;
