--- a/packages/daemon/src/operator_commands.cc
+++ b/packages/daemon/src/operator_commands.cc
@@ -6,6 +6,7 @@
 
 #include "command/table.h"
 #include "configuration/change_rules.h"
+#include "operator_api/command_reply.h"
 
 namespace sesamesaddle {
 namespace {
@@ -66,14 +67,6 @@
   return row;
 }
 
-schema::CommandReply MakeReply(schema::CommandOutcome::type outcome,
-                               std::string message) {
-  schema::CommandReply reply;
-  reply.outcome = outcome;
-  reply.message = std::move(message);
-  return reply;
-}
-
 }  // namespace
 
 struct OperatorCommands::Waiting {
@@ -96,10 +89,7 @@
                                const CommandOptions& options, Done done) {
   const auto command = ParseCommand(text);
   if (!command) {
-    auto reply = MakeReply(schema::CommandOutcome::kSyntaxError,
-                           command.error().message);
-    reply.__set_column(static_cast<int32_t>(command.error().column));
-    done(reply);
+    done(MakeReply(command.error()));
     return;
   }
   if (const auto* change = std::get_if<schema::Change>(&*command)) {
--- a/packages/steering_daemon/src/inspection.cc
+++ b/packages/steering_daemon/src/inspection.cc
@@ -10,10 +10,11 @@
 tl::expected<std::unique_ptr<HttpServer>, NetError> Serve(
     EventLoop& loop, const Endpoint& listen, InspectionSources sources) {
   constexpr int kNotFoundStatus = 404;
+  // Queries tell no more than the state dump, which needs no token either.
+  const CommandEndpoint commands("", sources.commands);
   return HttpServer::Open(
       loop, listen,
-      [commands = CommandEndpoint("", sources.commands),
-       sources = std::move(sources)](
+      [commands, sources = std::move(sources)](
           const HttpRequest& request,
           const std::shared_ptr<HttpResponder>& responder) {
         if (request.path == kCommandPath) {
--- a/packages/steering_daemon/src/steering_commands.cc
+++ b/packages/steering_daemon/src/steering_commands.cc
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "command/table.h"
+#include "operator_api/command_reply.h"
 
 namespace sesamesaddle {
 namespace {
@@ -12,24 +13,13 @@
     "refused: on packet flows the platform's operators write changes to its "
     "store; this process answers queries only";
 
-schema::CommandReply MakeReply(schema::CommandOutcome::type outcome,
-                               std::string message) {
-  schema::CommandReply reply;
-  reply.outcome = outcome;
-  reply.message = std::move(message);
-  return reply;
-}
-
 }  // namespace
 
 void SteeringCommands::Execute(const std::string& text,
                                const CommandOptions& /*options*/, Done done) {
   const auto command = ParseCommand(text);
   if (!command) {
-    auto reply = MakeReply(schema::CommandOutcome::kSyntaxError,
-                           command.error().message);
-    reply.__set_column(static_cast<int32_t>(command.error().column));
-    done(reply);
+    done(MakeReply(command.error()));
   } else if (const auto* query = std::get_if<Query>(&*command)) {
     done(Answer(*query));
   } else if (std::holds_alternative<HelpRequest>(*command)) {
