--- a/tests/fuzz/decoder_fuzz.cc
+++ b/tests/fuzz/decoder_fuzz.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/random.h"
@@ -100,7 +101,8 @@
   return record;
 }
 
-std::vector<Decoder> Decoders() {
+/** Those of what the platform, its targets and clients write. */
+std::vector<Decoder> PlatformDecoders() {
   std::vector<Decoder> decoders;
   decoders.push_back(
       {"packet", SamplePacket(), [](const auto& input, std::string& fault) {
@@ -157,6 +159,12 @@
          if (settings->stop_grace < Duration::zero()) fault = "a negative time";
          return true;
        }});
+  return decoders;
+}
+
+/** Those of the system's own messages and of values in the store. */
+std::vector<Decoder> BinaryDecoders() {
+  std::vector<Decoder> decoders;
   decoders.push_back(
       {"control message", EncodeCompact(SampleMessage()),
        [](const auto& input, std::string& /*fault*/) {
@@ -212,7 +220,11 @@
   app.add_option("--inputs", inputs, "For each decoder")->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   bool held = true;
-  for (const auto& decoder : sesamesaddle::Decoders()) {
+  auto decoders = sesamesaddle::PlatformDecoders();
+  for (auto& decoder : sesamesaddle::BinaryDecoders()) {
+    decoders.push_back(std::move(decoder));
+  }
+  for (const auto& decoder : decoders) {
     held = sesamesaddle::Feed(decoder, seed, inputs) && held;
   }
   return held ? 0 : 1;
--- a/tools/soak/configuration_changes.cc
+++ b/tools/soak/configuration_changes.cc
@@ -20,6 +20,7 @@
 constexpr Duration kInForce = std::chrono::milliseconds(3000);
 constexpr Duration kBack = std::chrono::milliseconds(250);
 constexpr uint16_t kFirstProbePort = 9000;
+constexpr int kOk = 200;
 
 Json RouteJson(const std::string& name, const Endpoint& address,
                const std::string& service, int version) {
@@ -93,8 +94,9 @@
   request.body = body.dump();
   call_ = store_.Call(request, ConnectionUse::kFresh,
                       [this, version](HttpResult result) {
-                        if (!result.whole || result.response.status != 200)
+                        if (!result.whole || result.response.status != kOk) {
                           return;
+                        }
                         if (acknowledged_ < version) ++world_.verdict.versions;
                         acknowledged_ = version;
                       });
