Promises of packet flows with their mechanisms off; a test that was missing

Each row of PROMISES.md on packet flows said "not tried without the mechanism". One line of each mechanism was taken out in a copy and the tests run: service check, agent's refusal while draining, search, directory read, revision check. All are caught.

Not caught was a balancer that refuses a SYN which it has already sent to an agent. The code does not do that; now "A SYN that an agent was sent is not refused for want of room" says so (1 reset with the condition out, 0 with it).

--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "silent_log.h"
 #include "steering/admission.h"
 #include "steering/answer_judge.h"
 #include "steering/handshake_time.h"
@@ -11,6 +12,7 @@
 #include "steering/target_directory.h"
 #include "steering/target_health.h"
 #include "steering_world.h"
+#include "test_packet_codec.h"
 
 namespace sesamesaddle {
 namespace {
@@ -475,6 +477,60 @@
   CHECK(Admission::WaitLimit(route) == Admission::kLongestWait);
 }
 
+/** Counts what a balancer sends. */
+class CountingOutput : public FlowBalancerOutput {
+ public:
+  void ToAgent(const Endpoint& /*agent*/,
+               std::string_view /*packet*/) override {
+    ++to_agents;
+  }
+  void ToClient(const Endpoint& /*client*/,
+                std::string_view /*packet*/) override {
+    ++to_clients;
+  }
+  void Query(const Endpoint& /*agent*/,
+             const schema::FlowQuery& /*query*/) override {}
+  void RefreshDirectory() override {}
+
+  int to_agents = 0;
+  int to_clients = 0;
+};
+
+TEST_CASE("A SYN that an agent was sent is not refused for want of room") {
+  // Its target may have answered it; the client may go on at any moment.
+  TargetDirectory directory;
+  for (uint32_t i = 1; i <= 2; ++i) {
+    directory.Put(kNow, std::to_string(i), MakeRecord(i), i);
+  }
+  TestPacketCodec codec;
+  SilentLog log;
+  CountingOutput output;
+  LeastWaitPlacement placement(Topology("z"), directory);
+  FlowBalancer balancer({Topology("z")}, codec, directory, placement, output,
+                        log);
+  RouteTable routes;
+  routes.version = 1;
+  routes.routes[Endpoint(9, 443)].services = {{"orders", 1}};
+  balancer.Apply(kNow, std::move(routes));
+  PacketHead syn;
+  syn.source = Endpoint(7, 40000);
+  syn.destination = Endpoint(9, 443);
+  syn.syn = true;
+  std::string packet = TestPacketCodec::Encode(syn);
+  balancer.OnClientPacket(kNow, packet.data(), packet.size());
+  REQUIRE(output.to_agents == 1);
+  for (TimePoint now = kNow; now < kNow + milliseconds(900);
+       now += milliseconds(10)) {
+    for (uint32_t i = 1; i <= 2; ++i) {
+      schema::AgentReport full = MakeReport(i);
+      full.waiting = 100;
+      balancer.OnReport(now, full);
+    }
+    balancer.OnTick(now);
+  }
+  CHECK(output.to_clients == 0);
+}
+
 TEST_CASE("Times of a SYN survive the hop") {
   const SynTimes times =
       SynTimes::Unpack(SynTimes{milliseconds(70), milliseconds(120)}.Pack());
