--- a/benchmark/steering_benchmark.cc
+++ b/benchmark/steering_benchmark.cc
@@ -28,6 +28,8 @@
                 std::string_view /*packet*/) override {}
   void Query(const Endpoint& /*agent*/,
              const schema::FlowQuery& /*query*/) override {}
+  void Notify(const Endpoint& /*agent*/,
+              const schema::AgentNotice& /*notice*/) override {}
   void RefreshDirectory() override {}
 };
 
--- a/packages/steering/include/steering/admission_control.h
+++ b/packages/admission/include/admission/admission_control.h
@@ -1,8 +1,8 @@
-#ifndef SESAMESADDLE_STEERING_ADMISSION_CONTROL_H_
-#define SESAMESADDLE_STEERING_ADMISSION_CONTROL_H_
+#ifndef SESAMESADDLE_ADMISSION_ADMISSION_CONTROL_H_
+#define SESAMESADDLE_ADMISSION_ADMISSION_CONTROL_H_
 
 #include "core/time.h"
-#include "steering/route_table.h"
+#include "flow_model/route_table.h"
 
 namespace sesamesaddle {
 
@@ -58,4 +58,4 @@
 
 }  // namespace sesamesaddle
 
-#endif  // SESAMESADDLE_STEERING_ADMISSION_CONTROL_H_
+#endif  // SESAMESADDLE_ADMISSION_ADMISSION_CONTROL_H_
--- a/packages/steering/include/steering/syn_queue.h
+++ b/packages/admission/include/admission/syn_queue.h
@@ -1,14 +1,14 @@
-#ifndef SESAMESADDLE_STEERING_SYN_QUEUE_H_
-#define SESAMESADDLE_STEERING_SYN_QUEUE_H_
+#ifndef SESAMESADDLE_ADMISSION_SYN_QUEUE_H_
+#define SESAMESADDLE_ADMISSION_SYN_QUEUE_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "admission/admission_control.h"
 #include "core/endpoint.h"
 #include "core/time.h"
-#include "steering/admission_control.h"
 
 namespace sesamesaddle {
 
@@ -78,4 +78,4 @@
 
 }  // namespace sesamesaddle
 
-#endif  // SESAMESADDLE_STEERING_SYN_QUEUE_H_
+#endif  // SESAMESADDLE_ADMISSION_SYN_QUEUE_H_
--- a/packages/steering/src/admission_control.cc
+++ b/packages/admission/src/admission_control.cc
@@ -1,4 +1,4 @@
-#include "steering/admission_control.h"
+#include "admission/admission_control.h"
 
 #include <algorithm>
 
--- a/packages/steering/src/handshake_time_estimator.cc
+++ b/packages/admission/src/handshake_time_estimator.cc
@@ -1,4 +1,4 @@
-#include "steering/handshake_time_estimator.h"
+#include "admission/handshake_time_estimator.h"
 
 #include <algorithm>
 
--- a/packages/steering/src/syn_queue.cc
+++ b/packages/admission/src/syn_queue.cc
@@ -1,9 +1,9 @@
-#include "steering/syn_queue.h"
+#include "admission/syn_queue.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "steering/syn_patience.h"
+#include "admission/syn_patience.h"
 
 namespace sesamesaddle {
 
--- /dev/null
+++ b/packages/admission/tests/admission_test.cc
@@ -0,0 +1,105 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "admission/admission_control.h"
+#include "admission/handshake_time_estimator.h"
+#include "admission/syn_patience.h"
+#include "admission/syn_queue.h"
+
+namespace sesamesaddle {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kNow(seconds(1000));
+
+Flow MakeFlow(uint32_t i) { return {Endpoint(i, 40000), Endpoint(9, 443)}; }
+
+QueuedSyn MakeQueuedSyn(uint32_t flow, int priority, TimePoint arrived,
+                        Duration target_latency = milliseconds(100)) {
+  QueuedSyn syn;
+  syn.flow = MakeFlow(flow);
+  syn.priority = priority;
+  syn.arrived = arrived;
+  syn.target_latency = target_latency;
+  return syn;
+}
+
+TEST_CASE(
+    "Queued SYNs leave by priority, then in-time ones, then oldest first") {
+  SynQueue queue;
+  queue.Push(MakeQueuedSyn(1, 2, kNow - milliseconds(150)), 4);  // Late.
+  queue.Push(MakeQueuedSyn(2, 2, kNow - milliseconds(20)), 4);
+  queue.Push(MakeQueuedSyn(3, 2, kNow - milliseconds(50)), 4);
+  queue.Push(MakeQueuedSyn(4, 1, kNow - milliseconds(150)), 4);
+  std::vector<Flow> order;
+  while (auto syn = queue.Pop(kNow)) order.push_back(syn->flow);
+  CHECK(order ==
+        std::vector<Flow>{MakeFlow(4), MakeFlow(3), MakeFlow(2), MakeFlow(1)});
+}
+
+TEST_CASE("Queued SYNs of clients that have probably given up leave last") {
+  // A client sends copies after 200 and 600 ms.
+  CHECK_FALSE(SynPatience::ProbablyAbandoned(milliseconds(240), 0));
+  CHECK(SynPatience::ProbablyAbandoned(milliseconds(260), 0));
+  CHECK_FALSE(SynPatience::ProbablyAbandoned(milliseconds(260), 1));
+  CHECK(SynPatience::ProbablyAbandoned(milliseconds(660), 1));
+  CHECK_FALSE(SynPatience::ProbablyAbandoned(milliseconds(660), 2));
+  SynQueue queue;
+  queue.Push(MakeQueuedSyn(1, 1, kNow - milliseconds(300)), 4);
+  queue.Push(MakeQueuedSyn(2, 1, kNow - milliseconds(290)), 4);
+  queue.Push(MakeQueuedSyn(3, 2, kNow - milliseconds(20)), 4);
+  CHECK(queue.RecordCopy(MakeFlow(2), 1));
+  CHECK_FALSE(queue.RecordCopy(MakeFlow(9), 1));
+  std::vector<Flow> order;
+  while (auto syn = queue.Pop(kNow)) order.push_back(syn->flow);
+  CHECK(order == std::vector<Flow>{MakeFlow(2), MakeFlow(3), MakeFlow(1)});
+}
+
+TEST_CASE("The SYN queue is bounded in length and waiting time") {
+  SynQueue queue;
+  for (uint32_t i = 0; i < SynQueue::kMaxQueuedPerSlot; ++i) {
+    CHECK(queue.Push(MakeQueuedSyn(i, 0, kNow), 1));
+  }
+  CHECK_FALSE(queue.Push(MakeQueuedSyn(99, 0, kNow), 1));
+  CHECK(queue.TakeExpired(kNow + SynQueue::kMaxWait).empty());
+  CHECK(queue.TakeExpired(kNow + SynQueue::kMaxWait + milliseconds(1)).size() ==
+        SynQueue::kMaxQueuedPerSlot);
+  CHECK(queue.empty());
+}
+
+TEST_CASE("The handshake timeout follows the handshake time") {
+  HandshakeTimeEstimator handshakes;
+  CHECK(handshakes.Timeout() == HandshakeTimeEstimator::kMaxTimeout);
+  for (int i = 0; i < 100; ++i) handshakes.AddSample(milliseconds(4 + i % 3));
+  CHECK(handshakes.Timeout() < milliseconds(15));
+  CHECK(handshakes.Timeout() >= HandshakeTimeEstimator::kMinTimeout);
+  // The time of a retransmitted SYN is not a sample of the handshake time.
+  const Duration before = handshakes.Timeout();
+  handshakes.AddSample(milliseconds(204));
+  CHECK(handshakes.Timeout() == before);
+  // The timeout grows with the handshake time.
+  for (int i = 0; i < 100; ++i) handshakes.AddSample(milliseconds(60));
+  CHECK(handshakes.Timeout() >= milliseconds(60));
+}
+
+TEST_CASE("A flow is refused only after the wait limit and without room") {
+  Route route;
+  route.timeout = milliseconds(900);
+  using Decision = AdmissionDecision;
+  CHECK(AdmissionControl::Decide(route, 8.0, milliseconds(0)) ==
+        Decision::kPlace);
+  CHECK(AdmissionControl::Decide(route, 8.1, milliseconds(299)) ==
+        Decision::kWait);
+  CHECK(AdmissionControl::Decide(route, 8.1, milliseconds(300)) ==
+        Decision::kRefuse);
+  CHECK(AdmissionControl::Decide(route, 2.0, milliseconds(300)) ==
+        Decision::kPlace);
+  route.timeout = seconds(10);
+  CHECK(AdmissionControl::WaitLimit(route) == AdmissionControl::kMaxWait);
+}
+
+}  // namespace
+}  // namespace sesamesaddle
--- a/packages/steering/include/steering/flow_locator.h
+++ b/packages/flow_location/include/flow_location/flow_locator.h
@@ -1,5 +1,5 @@
-#ifndef SESAMESADDLE_STEERING_FLOW_LOCATOR_H_
-#define SESAMESADDLE_STEERING_FLOW_LOCATOR_H_
+#ifndef SESAMESADDLE_FLOW_LOCATION_FLOW_LOCATOR_H_
+#define SESAMESADDLE_FLOW_LOCATION_FLOW_LOCATOR_H_
 
 #include <cstdint>
 #include <map>
@@ -10,9 +10,9 @@
 
 #include "core/endpoint.h"
 #include "core/time.h"
-#include "steering/packet.h"
-#include "steering/target_directory.h"
-#include "steering/topology.h"
+#include "flow_model/packet.h"
+#include "placement/target_directory.h"
+#include "placement/topology.h"
 
 namespace sesamesaddle {
 
@@ -174,4 +174,4 @@
 
 }  // namespace sesamesaddle
 
-#endif  // SESAMESADDLE_STEERING_FLOW_LOCATOR_H_
+#endif  // SESAMESADDLE_FLOW_LOCATION_FLOW_LOCATOR_H_
--- a/packages/steering/include/steering/route_history.h
+++ b/packages/flow_location/include/flow_location/route_history.h
@@ -1,5 +1,5 @@
-#ifndef SESAMESADDLE_STEERING_ROUTE_HISTORY_H_
-#define SESAMESADDLE_STEERING_ROUTE_HISTORY_H_
+#ifndef SESAMESADDLE_FLOW_LOCATION_ROUTE_HISTORY_H_
+#define SESAMESADDLE_FLOW_LOCATION_ROUTE_HISTORY_H_
 
 #include <map>
 #include <string>
@@ -8,7 +8,7 @@
 
 #include "core/endpoint.h"
 #include "core/time.h"
-#include "steering/route_table.h"
+#include "flow_model/route_table.h"
 
 namespace sesamesaddle {
 
@@ -51,4 +51,4 @@
 
 }  // namespace sesamesaddle
 
-#endif  // SESAMESADDLE_STEERING_ROUTE_HISTORY_H_
+#endif  // SESAMESADDLE_FLOW_LOCATION_ROUTE_HISTORY_H_
--- a/packages/steering/src/flow_locator.cc
+++ b/packages/flow_location/src/flow_locator.cc
@@ -1,9 +1,9 @@
-#include "steering/flow_locator.h"
+#include "flow_location/flow_locator.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "steering/placement.h"
+#include "placement/placement.h"
 
 namespace sesamesaddle {
 namespace {
--- a/packages/steering/src/flow_record_policy.cc
+++ b/packages/flow_location/src/flow_record_policy.cc
@@ -1,4 +1,4 @@
-#include "steering/flow_record_policy.h"
+#include "flow_location/flow_record_policy.h"
 
 #include <algorithm>
 
--- a/packages/steering/src/route_history.cc
+++ b/packages/flow_location/src/route_history.cc
@@ -1,4 +1,4 @@
-#include "steering/route_history.h"
+#include "flow_location/route_history.h"
 
 #include <algorithm>
 
--- a/packages/steering/tests/flow_record_test.cc
+++ b/packages/flow_location/tests/flow_record_test.cc
@@ -2,8 +2,8 @@
 #include <string>
 #include <vector>
 
+#include "flow_location/flow_record_policy.h"
 #include "schema/flow_key.h"
-#include "steering/flow_record_policy.h"
 #include "steering/target_monitor.h"
 #include "steering_world.h"
 
--- a/packages/steering/include/steering/configuration_decoder.h
+++ b/packages/flow_model/include/flow_model/configuration_decoder.h
@@ -1,10 +1,10 @@
-#ifndef SESAMESADDLE_STEERING_CONFIGURATION_DECODER_H_
-#define SESAMESADDLE_STEERING_CONFIGURATION_DECODER_H_
+#ifndef SESAMESADDLE_FLOW_MODEL_CONFIGURATION_DECODER_H_
+#define SESAMESADDLE_FLOW_MODEL_CONFIGURATION_DECODER_H_
 
 #include <string>
 #include <tl/expected.hpp>
 
-#include "steering/route_table.h"
+#include "flow_model/route_table.h"
 
 namespace sesamesaddle {
 
@@ -22,4 +22,4 @@
 
 }  // namespace sesamesaddle
 
-#endif  // SESAMESADDLE_STEERING_CONFIGURATION_DECODER_H_
+#endif  // SESAMESADDLE_FLOW_MODEL_CONFIGURATION_DECODER_H_
--- a/packages/steering/include/steering/packet.h
+++ b/packages/flow_model/include/flow_model/packet.h
@@ -1,5 +1,5 @@
-#ifndef SESAMESADDLE_STEERING_PACKET_H_
-#define SESAMESADDLE_STEERING_PACKET_H_
+#ifndef SESAMESADDLE_FLOW_MODEL_PACKET_H_
+#define SESAMESADDLE_FLOW_MODEL_PACKET_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -103,4 +103,4 @@
 
 }  // namespace sesamesaddle
 
-#endif  // SESAMESADDLE_STEERING_PACKET_H_
+#endif  // SESAMESADDLE_FLOW_MODEL_PACKET_H_
--- a/packages/steering/include/steering/route_table.h
+++ b/packages/flow_model/include/flow_model/route_table.h
@@ -1,5 +1,5 @@
-#ifndef SESAMESADDLE_STEERING_ROUTE_TABLE_H_
-#define SESAMESADDLE_STEERING_ROUTE_TABLE_H_
+#ifndef SESAMESADDLE_FLOW_MODEL_ROUTE_TABLE_H_
+#define SESAMESADDLE_FLOW_MODEL_ROUTE_TABLE_H_
 
 #include <cstdint>
 #include <string>
@@ -52,4 +52,4 @@
 
 }  // namespace sesamesaddle
 
-#endif  // SESAMESADDLE_STEERING_ROUTE_TABLE_H_
+#endif  // SESAMESADDLE_FLOW_MODEL_ROUTE_TABLE_H_
--- a/packages/steering/src/route_table.cc
+++ b/packages/flow_model/src/route_table.cc
@@ -1,9 +1,9 @@
-#include "steering/route_table.h"
+#include "flow_model/route_table.h"
 
 #include <algorithm>
 
 #include "core/hash.h"
-#include "steering/packet.h"
+#include "flow_model/packet.h"
 
 namespace sesamesaddle {
 
--- a/packages/steering/include/steering/placement.h
+++ b/packages/placement/include/placement/placement.h
@@ -1,5 +1,5 @@
-#ifndef SESAMESADDLE_STEERING_PLACEMENT_H_
-#define SESAMESADDLE_STEERING_PLACEMENT_H_
+#ifndef SESAMESADDLE_PLACEMENT_PLACEMENT_H_
+#define SESAMESADDLE_PLACEMENT_PLACEMENT_H_
 
 #include <memory>
 #include <string>
@@ -7,8 +7,8 @@
 
 #include "core/endpoint.h"
 #include "core/time.h"
-#include "steering/target_directory.h"
-#include "steering/topology.h"
+#include "placement/target_directory.h"
+#include "placement/topology.h"
 
 namespace sesamesaddle {
 
@@ -96,4 +96,4 @@
 
 }  // namespace sesamesaddle
 
-#endif  // SESAMESADDLE_STEERING_PLACEMENT_H_
+#endif  // SESAMESADDLE_PLACEMENT_PLACEMENT_H_
--- a/packages/steering/include/steering/topology.h
+++ b/packages/placement/include/placement/topology.h
@@ -1,5 +1,5 @@
-#ifndef SESAMESADDLE_STEERING_TOPOLOGY_H_
-#define SESAMESADDLE_STEERING_TOPOLOGY_H_
+#ifndef SESAMESADDLE_PLACEMENT_TOPOLOGY_H_
+#define SESAMESADDLE_PLACEMENT_TOPOLOGY_H_
 
 #include <map>
 #include <string>
@@ -31,4 +31,4 @@
 
 }  // namespace sesamesaddle
 
-#endif  // SESAMESADDLE_STEERING_TOPOLOGY_H_
+#endif  // SESAMESADDLE_PLACEMENT_TOPOLOGY_H_
--- a/packages/steering/src/placement.cc
+++ b/packages/placement/src/placement.cc
@@ -1,4 +1,4 @@
-#include "steering/placement.h"
+#include "placement/placement.h"
 
 #include <algorithm>
 
--- a/packages/steering/src/target_directory.cc
+++ b/packages/placement/src/target_directory.cc
@@ -1,8 +1,8 @@
-#include "steering/target_directory.h"
+#include "placement/target_directory.h"
 
 #include <algorithm>
 
-#include "steering/packet.h"
+#include "flow_model/packet.h"
 
 namespace sesamesaddle {
 namespace {
--- a/packages/steering/src/topology.cc
+++ b/packages/placement/src/topology.cc
@@ -1,4 +1,4 @@
-#include "steering/topology.h"
+#include "placement/topology.h"
 
 namespace sesamesaddle {
 
--- a/packages/steering/tests/split_overflow_test.cc
+++ b/packages/placement/tests/split_overflow_test.cc
@@ -1,4 +1,4 @@
-#include "steering/split_overflow.h"
+#include "placement/split_overflow.h"
 
 #include <catch2/catch.hpp>
 #include <string>
--- /dev/null
+++ b/packages/placement/tests/target_directory_test.cc
@@ -0,0 +1,171 @@
+#include "placement/target_directory.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "target_fixtures.h"
+
+namespace sesamesaddle {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kNow(seconds(1000));
+
+TEST_CASE("An older revision of an entry is ignored") {
+  TargetDirectory directory;
+  directory.Put(kNow, "k", MakeRecord(1, "z", "new"), StoreRevision(20));
+  directory.Put(kNow, "k", MakeRecord(1, "z", "old"), StoreRevision(10));
+  directory.Remove(kNow, "k", StoreRevision(15));
+  const AgentView* view = directory.Find(Endpoint(1, 8172));
+  REQUIRE(view != nullptr);
+  CHECK(view->record.id == "new");
+  CHECK(view->listed);
+}
+
+TEST_CASE(
+    "An unlisted entry is dropped after the grace period unless it reports") {
+  TargetDirectory directory;
+  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
+  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
+  directory.Remove(kNow, "a", StoreRevision(3));
+  directory.Remove(kNow, "b", StoreRevision(4));
+  const TimePoint later = kNow + milliseconds(2600);
+  directory.OnReport(later - milliseconds(100), MakeReport(2));
+  CHECK(directory.Expire(kNow + milliseconds(2000), true).empty());
+  // With a directory that is not current, a missing entry is no reason to drop.
+  CHECK(directory.Expire(later, false).empty());
+  CHECK(directory.Expire(later, true) ==
+        std::vector<Endpoint>{Endpoint(1, 8172)});
+  CHECK(directory.Find(Endpoint(2, 8172)) != nullptr);
+}
+
+TEST_CASE("An entry that is listed again in time is usable") {
+  TargetDirectory directory;
+  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
+  directory.Remove(kNow, "a", StoreRevision(2));
+  directory.Put(kNow + seconds(2), "a", MakeRecord(1), StoreRevision(3));
+  CHECK(directory.Expire(kNow + seconds(10), true).empty());
+  CHECK(directory.Usable(kNow, *directory.Find(Endpoint(1, 8172))));
+}
+
+TEST_CASE("A silent, draining or restarting agent gets no new flows") {
+  TargetDirectory directory;
+  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
+  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
+  AgentView& view = *directory.Find(Endpoint(1, 8172));
+  TargetDirectory::RecordReportRequest(kNow, view);
+  // Without a report from any agent this process may be the disconnected one.
+  CHECK(directory.Usable(kNow + milliseconds(451), view));
+  directory.OnReport(kNow + milliseconds(400), MakeReport(2));
+  CHECK(directory.Usable(kNow + milliseconds(450), view));
+  CHECK_FALSE(directory.Usable(kNow + milliseconds(451), view));
+  schema::AgentReport report = MakeReport(1);
+  directory.OnReport(kNow + milliseconds(700), report);
+  CHECK(directory.Usable(kNow + milliseconds(700), view));
+  report.restarting = true;
+  directory.OnReport(kNow, report);
+  CHECK_FALSE(directory.Usable(kNow, view));
+  report.restarting = false;
+  report.state = schema::TargetState::kDraining;
+  directory.OnReport(kNow, report);
+  CHECK_FALSE(directory.Usable(kNow, view));
+}
+
+TEST_CASE(
+    "An agent whose target changes its service is listed under the new one") {
+  TargetDirectory directory;
+  directory.Put(kNow, "k", MakeRecord(1), StoreRevision(1));
+  schema::TargetRecord other = MakeRecord(1, "z", "next");
+  other.service_name = "reports";
+  directory.Put(kNow, "k", other, StoreRevision(2));
+  directory.Put(kNow, "k", other, StoreRevision(3));
+  CHECK(directory.OfService("orders").empty());
+  CHECK(directory.OfService("reports").size() == 1);
+  directory.Remove(kNow, "k", StoreRevision(4));
+  CHECK(directory.Expire(kNow + seconds(5), true).size() == 1);
+  CHECK(directory.OfService("reports").empty());
+}
+
+TEST_CASE("A silent agent is usable again after the retry delay") {
+  TargetDirectory directory;
+  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
+  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
+  AgentView& view = *directory.Find(Endpoint(1, 8172));
+  TargetDirectory::RecordReportRequest(kNow, view);
+  const TimePoint later = kNow + milliseconds(700);
+  directory.OnReport(later, MakeReport(2));
+  CHECK_FALSE(directory.Usable(later, view));
+  const TimePoint again = later + TargetDirectory::kSilentAgentRetryDelay;
+  directory.OnReport(again, MakeReport(2));
+  CHECK(directory.Usable(again, view));
+  // The retry delay starts again if the agent is still silent.
+  TargetDirectory::RecordReportRequest(again, view);
+  CHECK(directory.Usable(again + milliseconds(500), view));
+  directory.OnReport(again + milliseconds(700), MakeReport(2));
+  CHECK_FALSE(directory.Usable(again + milliseconds(700), view));
+}
+
+TEST_CASE("One lost report does not make an agent unreachable") {
+  TargetDirectory directory;
+  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
+  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
+  AgentView& view = *directory.Find(Endpoint(1, 8172));
+  TargetDirectory::RecordReportRequest(kNow, view);
+  const TimePoint later = kNow + milliseconds(700);
+  directory.OnReport(later, MakeReport(2));
+  CHECK(directory.Silent(later, view));
+  CHECK_FALSE(directory.Unreachable(later, view));
+  TargetDirectory::RecordReportRequest(later, view);
+  CHECK_FALSE(directory.Unreachable(later + milliseconds(15), view));
+}
+
+TEST_CASE("An agent that answers no packet becomes unreachable") {
+  TargetDirectory directory;
+  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
+  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
+  AgentView& view = *directory.Find(Endpoint(1, 8172));
+  TimePoint now = kNow;
+  for (; now <= kNow + TargetDirectory::kSilenceTimeout;
+       now += milliseconds(10)) {
+    CHECK_FALSE(directory.Unreachable(now, view));
+    TargetDirectory::RecordReportRequest(now, view);
+    directory.OnReport(now, MakeReport(2));
+  }
+  CHECK(directory.Unreachable(now, view));
+  directory.OnReport(now, MakeReport(1));
+  CHECK_FALSE(directory.Unreachable(now, view));
+}
+
+TEST_CASE("A restarting agent is usable after its new entry or a timeout") {
+  TargetDirectory directory;
+  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
+  AgentView& view = *directory.Find(Endpoint(1, 8172));
+  schema::AgentReport report = MakeReport(1);
+  report.restarting = true;
+  directory.OnReport(kNow, report);
+  CHECK_FALSE(directory.Usable(kNow, view));
+  SECTION("new entry") {
+    directory.Put(kNow + milliseconds(500), "a", MakeRecord(1),
+                  StoreRevision(2));
+    CHECK(directory.Usable(kNow + milliseconds(500), view));
+  }
+  SECTION("timeout, as when the store is unavailable") {
+    CHECK(directory.Usable(kNow + TargetDirectory::kRestartTimeout, view));
+  }
+}
+
+TEST_CASE("A report about another service is ignored") {
+  TargetDirectory directory;
+  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
+  schema::AgentReport report = MakeReport(1);
+  report.service_name = "reports";
+  report.waiting = 9;
+  directory.OnReport(kNow, report);
+  CHECK(directory.Find(Endpoint(1, 8172))->in_flight == 0);
+}
+
+}  // namespace
+}  // namespace sesamesaddle
--- a/packages/schema/gen/steering_types.cpp
+++ b/packages/schema/gen/steering_types.cpp
@@ -522,6 +522,324 @@
 }
 
 
+ZoneState::~ZoneState() noexcept {
+}
+
+
+void ZoneState::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void ZoneState::__set_evacuated(const bool val) {
+  this->evacuated = val;
+}
+
+void ZoneState::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ZoneState::__set_era(const int64_t val) {
+  this->era = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_zone = false;
+  bool isset_evacuated = false;
+  bool isset_revision = false;
+  bool isset_era = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          isset_zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuated);
+          isset_evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          isset_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_zone)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_evacuated)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_era)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ZoneState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneState");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->evacuated);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneState &a, ZoneState &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.evacuated, b.evacuated);
+  swap(a.revision, b.revision);
+  swap(a.era, b.era);
+}
+
+ZoneState::ZoneState(const ZoneState& other9) {
+  zone = other9.zone;
+  evacuated = other9.evacuated;
+  revision = other9.revision;
+  era = other9.era;
+}
+ZoneState::ZoneState(ZoneState&& other10) noexcept {
+  zone = std::move(other10.zone);
+  evacuated = other10.evacuated;
+  revision = other10.revision;
+  era = other10.era;
+}
+ZoneState& ZoneState::operator=(const ZoneState& other11) {
+  zone = other11.zone;
+  evacuated = other11.evacuated;
+  revision = other11.revision;
+  era = other11.era;
+  return *this;
+}
+ZoneState& ZoneState::operator=(ZoneState&& other12) noexcept {
+  zone = std::move(other12.zone);
+  evacuated = other12.evacuated;
+  revision = other12.revision;
+  era = other12.era;
+  return *this;
+}
+void ZoneState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneState(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "evacuated=" << to_string(evacuated);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "era=" << to_string(era);
+  out << ")";
+}
+
+
+FlowDigest::~FlowDigest() noexcept {
+}
+
+
+void FlowDigest::__set_query(const int32_t val) {
+  this->query = val;
+}
+
+void FlowDigest::__set_hashes(const std::vector<int32_t> & val) {
+  this->hashes = val;
+}
+std::ostream& operator<<(std::ostream& out, const FlowDigest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FlowDigest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_query = false;
+  bool isset_hashes = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->query);
+          isset_query = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hashes.clear();
+            uint32_t _size13;
+            ::apache::thrift::protocol::TType _etype16;
+            xfer += iprot->readListBegin(_etype16, _size13);
+            this->hashes.resize(_size13);
+            uint32_t _i17;
+            for (_i17 = 0; _i17 < _size13; ++_i17)
+            {
+              xfer += iprot->readI32(this->hashes[_i17]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_hashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_query)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_hashes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t FlowDigest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FlowDigest");
+
+  xfer += oprot->writeFieldBegin("query", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->query);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hashes", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->hashes.size()));
+    std::vector<int32_t> ::const_iterator _iter18;
+    for (_iter18 = this->hashes.begin(); _iter18 != this->hashes.end(); ++_iter18)
+    {
+      xfer += oprot->writeI32((*_iter18));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FlowDigest &a, FlowDigest &b) {
+  using ::std::swap;
+  swap(a.query, b.query);
+  swap(a.hashes, b.hashes);
+}
+
+FlowDigest::FlowDigest(const FlowDigest& other19) {
+  query = other19.query;
+  hashes = other19.hashes;
+}
+FlowDigest::FlowDigest(FlowDigest&& other20) noexcept {
+  query = other20.query;
+  hashes = std::move(other20.hashes);
+}
+FlowDigest& FlowDigest::operator=(const FlowDigest& other21) {
+  query = other21.query;
+  hashes = other21.hashes;
+  return *this;
+}
+FlowDigest& FlowDigest::operator=(FlowDigest&& other22) noexcept {
+  query = other22.query;
+  hashes = std::move(other22.hashes);
+  return *this;
+}
+void FlowDigest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FlowDigest(";
+  out << "query=" << to_string(query);
+  out << ", " << "hashes=" << to_string(hashes);
+  out << ")";
+}
+
+
 AgentReport::~AgentReport() noexcept {
 }
 
@@ -590,6 +908,21 @@
   this->failing = val;
 __isset.failing = true;
 }
+
+void AgentReport::__set_zone(const ZoneState& val) {
+  this->zone = val;
+__isset.zone = true;
+}
+
+void AgentReport::__set_slow_start_room(const int32_t val) {
+  this->slow_start_room = val;
+__isset.slow_start_room = true;
+}
+
+void AgentReport::__set_digest(const FlowDigest& val) {
+  this->digest = val;
+__isset.digest = true;
+}
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj)
 {
   obj.printTo(out);
@@ -651,9 +984,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast9;
-          xfer += iprot->readI32(ecast9);
-          this->state = static_cast<TargetState::type>(ecast9);
+          int32_t ecast23;
+          xfer += iprot->readI32(ecast23);
+          this->state = static_cast<TargetState::type>(ecast23);
           isset_state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -703,14 +1036,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accepted.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->accepted.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->accepted.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->accepted[_i14].read(iprot);
+              xfer += this->accepted[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -723,14 +1056,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size15;
-            ::apache::thrift::protocol::TType _etype18;
-            xfer += iprot->readListBegin(_etype18, _size15);
-            this->held.resize(_size15);
-            uint32_t _i19;
-            for (_i19 = 0; _i19 < _size15; ++_i19)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->held.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->held[_i19].read(iprot);
+              xfer += this->held[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -743,14 +1076,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->not_held.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->not_held.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->not_held.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->not_held[_i24].read(iprot);
+              xfer += this->not_held[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -787,14 +1120,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unsure.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _etype28;
-            xfer += iprot->readListBegin(_etype28, _size25);
-            this->unsure.resize(_size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->unsure.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->unsure[_i29].read(iprot);
+              xfer += this->unsure[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -811,6 +1144,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->zone.read(iprot);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slow_start_room);
+          this->__isset.slow_start_room = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->digest.read(iprot);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -893,10 +1250,10 @@
   xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accepted.size()));
-    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter30;
-    for (_iter30 = this->accepted.begin(); _iter30 != this->accepted.end(); ++_iter30)
+    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter44;
+    for (_iter44 = this->accepted.begin(); _iter44 != this->accepted.end(); ++_iter44)
     {
-      xfer += (*_iter30).write(oprot);
+      xfer += (*_iter44).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -905,10 +1262,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter31;
-    for (_iter31 = this->held.begin(); _iter31 != this->held.end(); ++_iter31)
+    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter45;
+    for (_iter45 = this->held.begin(); _iter45 != this->held.end(); ++_iter45)
     {
-      xfer += (*_iter31).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -917,10 +1274,10 @@
   xfer += oprot->writeFieldBegin("not_held", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->not_held.size()));
-    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter32;
-    for (_iter32 = this->not_held.begin(); _iter32 != this->not_held.end(); ++_iter32)
+    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter46;
+    for (_iter46 = this->not_held.begin(); _iter46 != this->not_held.end(); ++_iter46)
     {
-      xfer += (*_iter32).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -941,10 +1298,10 @@
   xfer += oprot->writeFieldBegin("unsure", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unsure.size()));
-    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter33;
-    for (_iter33 = this->unsure.begin(); _iter33 != this->unsure.end(); ++_iter33)
+    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter47;
+    for (_iter47 = this->unsure.begin(); _iter47 != this->unsure.end(); ++_iter47)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -955,6 +1312,21 @@
     xfer += oprot->writeBool(this->failing);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.zone) {
+    xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->zone.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.slow_start_room) {
+    xfer += oprot->writeFieldBegin("slow_start_room", ::apache::thrift::protocol::T_I32, 18);
+    xfer += oprot->writeI32(this->slow_start_room);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.digest) {
+    xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->digest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -978,85 +1350,100 @@
   swap(a.queued, b.queued);
   swap(a.unsure, b.unsure);
   swap(a.failing, b.failing);
+  swap(a.zone, b.zone);
+  swap(a.slow_start_room, b.slow_start_room);
+  swap(a.digest, b.digest);
   swap(a.__isset, b.__isset);
 }
 
-AgentReport::AgentReport(const AgentReport& other34) {
-  agent = other34.agent;
-  service_name = other34.service_name;
-  state = other34.state;
-  slots = other34.slots;
-  waiting = other34.waiting;
-  opening = other34.opening;
-  flows = other34.flows;
-  response_us = other34.response_us;
-  accepted = other34.accepted;
-  held = other34.held;
-  not_held = other34.not_held;
-  restarting = other34.restarting;
-  silent = other34.silent;
-  queued = other34.queued;
-  unsure = other34.unsure;
-  failing = other34.failing;
-  __isset = other34.__isset;
-}
-AgentReport::AgentReport(AgentReport&& other35) noexcept {
-  agent = other35.agent;
-  service_name = std::move(other35.service_name);
-  state = other35.state;
-  slots = other35.slots;
-  waiting = other35.waiting;
-  opening = other35.opening;
-  flows = other35.flows;
-  response_us = other35.response_us;
-  accepted = std::move(other35.accepted);
-  held = std::move(other35.held);
-  not_held = std::move(other35.not_held);
-  restarting = other35.restarting;
-  silent = other35.silent;
-  queued = other35.queued;
-  unsure = std::move(other35.unsure);
-  failing = other35.failing;
-  __isset = other35.__isset;
-}
-AgentReport& AgentReport::operator=(const AgentReport& other36) {
-  agent = other36.agent;
-  service_name = other36.service_name;
-  state = other36.state;
-  slots = other36.slots;
-  waiting = other36.waiting;
-  opening = other36.opening;
-  flows = other36.flows;
-  response_us = other36.response_us;
-  accepted = other36.accepted;
-  held = other36.held;
-  not_held = other36.not_held;
-  restarting = other36.restarting;
-  silent = other36.silent;
-  queued = other36.queued;
-  unsure = other36.unsure;
-  failing = other36.failing;
-  __isset = other36.__isset;
+AgentReport::AgentReport(const AgentReport& other48) {
+  agent = other48.agent;
+  service_name = other48.service_name;
+  state = other48.state;
+  slots = other48.slots;
+  waiting = other48.waiting;
+  opening = other48.opening;
+  flows = other48.flows;
+  response_us = other48.response_us;
+  accepted = other48.accepted;
+  held = other48.held;
+  not_held = other48.not_held;
+  restarting = other48.restarting;
+  silent = other48.silent;
+  queued = other48.queued;
+  unsure = other48.unsure;
+  failing = other48.failing;
+  zone = other48.zone;
+  slow_start_room = other48.slow_start_room;
+  digest = other48.digest;
+  __isset = other48.__isset;
+}
+AgentReport::AgentReport(AgentReport&& other49) noexcept {
+  agent = other49.agent;
+  service_name = std::move(other49.service_name);
+  state = other49.state;
+  slots = other49.slots;
+  waiting = other49.waiting;
+  opening = other49.opening;
+  flows = other49.flows;
+  response_us = other49.response_us;
+  accepted = std::move(other49.accepted);
+  held = std::move(other49.held);
+  not_held = std::move(other49.not_held);
+  restarting = other49.restarting;
+  silent = other49.silent;
+  queued = other49.queued;
+  unsure = std::move(other49.unsure);
+  failing = other49.failing;
+  zone = std::move(other49.zone);
+  slow_start_room = other49.slow_start_room;
+  digest = std::move(other49.digest);
+  __isset = other49.__isset;
+}
+AgentReport& AgentReport::operator=(const AgentReport& other50) {
+  agent = other50.agent;
+  service_name = other50.service_name;
+  state = other50.state;
+  slots = other50.slots;
+  waiting = other50.waiting;
+  opening = other50.opening;
+  flows = other50.flows;
+  response_us = other50.response_us;
+  accepted = other50.accepted;
+  held = other50.held;
+  not_held = other50.not_held;
+  restarting = other50.restarting;
+  silent = other50.silent;
+  queued = other50.queued;
+  unsure = other50.unsure;
+  failing = other50.failing;
+  zone = other50.zone;
+  slow_start_room = other50.slow_start_room;
+  digest = other50.digest;
+  __isset = other50.__isset;
   return *this;
 }
-AgentReport& AgentReport::operator=(AgentReport&& other37) noexcept {
-  agent = other37.agent;
-  service_name = std::move(other37.service_name);
-  state = other37.state;
-  slots = other37.slots;
-  waiting = other37.waiting;
-  opening = other37.opening;
-  flows = other37.flows;
-  response_us = other37.response_us;
-  accepted = std::move(other37.accepted);
-  held = std::move(other37.held);
-  not_held = std::move(other37.not_held);
-  restarting = other37.restarting;
-  silent = other37.silent;
-  queued = other37.queued;
-  unsure = std::move(other37.unsure);
-  failing = other37.failing;
-  __isset = other37.__isset;
+AgentReport& AgentReport::operator=(AgentReport&& other51) noexcept {
+  agent = other51.agent;
+  service_name = std::move(other51.service_name);
+  state = other51.state;
+  slots = other51.slots;
+  waiting = other51.waiting;
+  opening = other51.opening;
+  flows = other51.flows;
+  response_us = other51.response_us;
+  accepted = std::move(other51.accepted);
+  held = std::move(other51.held);
+  not_held = std::move(other51.not_held);
+  restarting = other51.restarting;
+  silent = other51.silent;
+  queued = other51.queued;
+  unsure = std::move(other51.unsure);
+  failing = other51.failing;
+  zone = std::move(other51.zone);
+  slow_start_room = other51.slow_start_room;
+  digest = std::move(other51.digest);
+  __isset = other51.__isset;
   return *this;
 }
 void AgentReport::printTo(std::ostream& out) const {
@@ -1078,6 +1465,9 @@
   out << ", " << "queued=" << to_string(queued);
   out << ", " << "unsure=" << to_string(unsure);
   out << ", " << "failing="; (__isset.failing ? (out << to_string(failing)) : (out << "<null>"));
+  out << ", " << "zone="; (__isset.zone ? (out << to_string(zone)) : (out << "<null>"));
+  out << ", " << "slow_start_room="; (__isset.slow_start_room ? (out << to_string(slow_start_room)) : (out << "<null>"));
+  out << ", " << "digest="; (__isset.digest ? (out << to_string(digest)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1199,30 +1589,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordedFlow::RecordedFlow(const RecordedFlow& other38) noexcept {
-  flow = other38.flow;
-  acknowledged = other38.acknowledged;
-  runs_once = other38.runs_once;
-  __isset = other38.__isset;
+RecordedFlow::RecordedFlow(const RecordedFlow& other52) noexcept {
+  flow = other52.flow;
+  acknowledged = other52.acknowledged;
+  runs_once = other52.runs_once;
+  __isset = other52.__isset;
 }
-RecordedFlow::RecordedFlow(RecordedFlow&& other39) noexcept {
-  flow = std::move(other39.flow);
-  acknowledged = other39.acknowledged;
-  runs_once = other39.runs_once;
-  __isset = other39.__isset;
+RecordedFlow::RecordedFlow(RecordedFlow&& other53) noexcept {
+  flow = std::move(other53.flow);
+  acknowledged = other53.acknowledged;
+  runs_once = other53.runs_once;
+  __isset = other53.__isset;
 }
-RecordedFlow& RecordedFlow::operator=(const RecordedFlow& other40) noexcept {
-  flow = other40.flow;
-  acknowledged = other40.acknowledged;
-  runs_once = other40.runs_once;
-  __isset = other40.__isset;
+RecordedFlow& RecordedFlow::operator=(const RecordedFlow& other54) noexcept {
+  flow = other54.flow;
+  acknowledged = other54.acknowledged;
+  runs_once = other54.runs_once;
+  __isset = other54.__isset;
   return *this;
 }
-RecordedFlow& RecordedFlow::operator=(RecordedFlow&& other41) noexcept {
-  flow = std::move(other41.flow);
-  acknowledged = other41.acknowledged;
-  runs_once = other41.runs_once;
-  __isset = other41.__isset;
+RecordedFlow& RecordedFlow::operator=(RecordedFlow&& other55) noexcept {
+  flow = std::move(other55.flow);
+  acknowledged = other55.acknowledged;
+  runs_once = other55.runs_once;
+  __isset = other55.__isset;
   return *this;
 }
 void RecordedFlow::printTo(std::ostream& out) const {
@@ -1301,14 +1691,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->flows.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->flows.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->flows.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->flows[_i46].read(iprot);
+              xfer += this->flows[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1351,10 +1741,10 @@
   xfer += oprot->writeFieldBegin("flows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->flows.size()));
-    std::vector<RecordedFlow> ::const_iterator _iter47;
-    for (_iter47 = this->flows.begin(); _iter47 != this->flows.end(); ++_iter47)
+    std::vector<RecordedFlow> ::const_iterator _iter61;
+    for (_iter61 = this->flows.begin(); _iter61 != this->flows.end(); ++_iter61)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1372,26 +1762,26 @@
   swap(a.flows, b.flows);
 }
 
-FlowRecord::FlowRecord(const FlowRecord& other48) {
-  target_id = other48.target_id;
-  born_ms = other48.born_ms;
-  flows = other48.flows;
+FlowRecord::FlowRecord(const FlowRecord& other62) {
+  target_id = other62.target_id;
+  born_ms = other62.born_ms;
+  flows = other62.flows;
 }
-FlowRecord::FlowRecord(FlowRecord&& other49) noexcept {
-  target_id = std::move(other49.target_id);
-  born_ms = other49.born_ms;
-  flows = std::move(other49.flows);
+FlowRecord::FlowRecord(FlowRecord&& other63) noexcept {
+  target_id = std::move(other63.target_id);
+  born_ms = other63.born_ms;
+  flows = std::move(other63.flows);
 }
-FlowRecord& FlowRecord::operator=(const FlowRecord& other50) {
-  target_id = other50.target_id;
-  born_ms = other50.born_ms;
-  flows = other50.flows;
+FlowRecord& FlowRecord::operator=(const FlowRecord& other64) {
+  target_id = other64.target_id;
+  born_ms = other64.born_ms;
+  flows = other64.flows;
   return *this;
 }
-FlowRecord& FlowRecord::operator=(FlowRecord&& other51) noexcept {
-  target_id = std::move(other51.target_id);
-  born_ms = other51.born_ms;
-  flows = std::move(other51.flows);
+FlowRecord& FlowRecord::operator=(FlowRecord&& other65) noexcept {
+  target_id = std::move(other65.target_id);
+  born_ms = other65.born_ms;
+  flows = std::move(other65.flows);
   return *this;
 }
 void FlowRecord::printTo(std::ostream& out) const {
@@ -1404,6 +1794,307 @@
 }
 
 
+SlowStartLimit::~SlowStartLimit() noexcept {
+}
+
+
+void SlowStartLimit::__set_duration_ms(const int32_t val) {
+  this->duration_ms = val;
+}
+
+void SlowStartLimit::__set_flows_per_second(const double val) {
+  this->flows_per_second = val;
+}
+
+void SlowStartLimit::__set_configuration_version(const int64_t val) {
+  this->configuration_version = val;
+}
+std::ostream& operator<<(std::ostream& out, const SlowStartLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SlowStartLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_duration_ms = false;
+  bool isset_flows_per_second = false;
+  bool isset_configuration_version = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->duration_ms);
+          isset_duration_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->flows_per_second);
+          isset_flows_per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configuration_version);
+          isset_configuration_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_duration_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_flows_per_second)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_configuration_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SlowStartLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SlowStartLimit");
+
+  xfer += oprot->writeFieldBegin("duration_ms", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->duration_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("flows_per_second", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->flows_per_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configuration_version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->configuration_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SlowStartLimit &a, SlowStartLimit &b) {
+  using ::std::swap;
+  swap(a.duration_ms, b.duration_ms);
+  swap(a.flows_per_second, b.flows_per_second);
+  swap(a.configuration_version, b.configuration_version);
+}
+
+SlowStartLimit::SlowStartLimit(const SlowStartLimit& other66) noexcept {
+  duration_ms = other66.duration_ms;
+  flows_per_second = other66.flows_per_second;
+  configuration_version = other66.configuration_version;
+}
+SlowStartLimit::SlowStartLimit(SlowStartLimit&& other67) noexcept {
+  duration_ms = other67.duration_ms;
+  flows_per_second = other67.flows_per_second;
+  configuration_version = other67.configuration_version;
+}
+SlowStartLimit& SlowStartLimit::operator=(const SlowStartLimit& other68) noexcept {
+  duration_ms = other68.duration_ms;
+  flows_per_second = other68.flows_per_second;
+  configuration_version = other68.configuration_version;
+  return *this;
+}
+SlowStartLimit& SlowStartLimit::operator=(SlowStartLimit&& other69) noexcept {
+  duration_ms = other69.duration_ms;
+  flows_per_second = other69.flows_per_second;
+  configuration_version = other69.configuration_version;
+  return *this;
+}
+void SlowStartLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SlowStartLimit(";
+  out << "duration_ms=" << to_string(duration_ms);
+  out << ", " << "flows_per_second=" << to_string(flows_per_second);
+  out << ", " << "configuration_version=" << to_string(configuration_version);
+  out << ")";
+}
+
+
+AgentNotice::~AgentNotice() noexcept {
+}
+
+
+void AgentNotice::__set_zone(const ZoneState& val) {
+  this->zone = val;
+__isset.zone = true;
+}
+
+void AgentNotice::__set_slow_start(const SlowStartLimit& val) {
+  this->slow_start = val;
+__isset.slow_start = true;
+}
+
+void AgentNotice::__set_configuration_version(const int64_t val) {
+  this->configuration_version = val;
+}
+std::ostream& operator<<(std::ostream& out, const AgentNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AgentNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_configuration_version = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->zone.read(iprot);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->slow_start.read(iprot);
+          this->__isset.slow_start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configuration_version);
+          isset_configuration_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_configuration_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AgentNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AgentNotice");
+
+  if (this->__isset.zone) {
+    xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->zone.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.slow_start) {
+    xfer += oprot->writeFieldBegin("slow_start", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->slow_start.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("configuration_version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->configuration_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AgentNotice &a, AgentNotice &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.slow_start, b.slow_start);
+  swap(a.configuration_version, b.configuration_version);
+  swap(a.__isset, b.__isset);
+}
+
+AgentNotice::AgentNotice(const AgentNotice& other70) {
+  zone = other70.zone;
+  slow_start = other70.slow_start;
+  configuration_version = other70.configuration_version;
+  __isset = other70.__isset;
+}
+AgentNotice::AgentNotice(AgentNotice&& other71) noexcept {
+  zone = std::move(other71.zone);
+  slow_start = std::move(other71.slow_start);
+  configuration_version = other71.configuration_version;
+  __isset = other71.__isset;
+}
+AgentNotice& AgentNotice::operator=(const AgentNotice& other72) {
+  zone = other72.zone;
+  slow_start = other72.slow_start;
+  configuration_version = other72.configuration_version;
+  __isset = other72.__isset;
+  return *this;
+}
+AgentNotice& AgentNotice::operator=(AgentNotice&& other73) noexcept {
+  zone = std::move(other73.zone);
+  slow_start = std::move(other73.slow_start);
+  configuration_version = other73.configuration_version;
+  __isset = other73.__isset;
+  return *this;
+}
+void AgentNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AgentNotice(";
+  out << "zone="; (__isset.zone ? (out << to_string(zone)) : (out << "<null>"));
+  out << ", " << "slow_start="; (__isset.slow_start ? (out << to_string(slow_start)) : (out << "<null>"));
+  out << ", " << "configuration_version=" << to_string(configuration_version);
+  out << ")";
+}
+
+
 FlowQuery::~FlowQuery() noexcept {
 }
 
@@ -1411,6 +2102,11 @@
 void FlowQuery::__set_flows(const std::vector< ::sesamesaddle::schema::FlowKey> & val) {
   this->flows = val;
 }
+
+void FlowQuery::__set_digest_query(const int32_t val) {
+  this->digest_query = val;
+__isset.digest_query = true;
+}
 std::ostream& operator<<(std::ostream& out, const FlowQuery& obj)
 {
   obj.printTo(out);
@@ -1444,14 +2140,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->flows.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->flows.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->flows.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->flows[_i56].read(iprot);
+              xfer += this->flows[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1460,6 +2156,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->digest_query);
+          this->__isset.digest_query = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1482,15 +2186,20 @@
   xfer += oprot->writeFieldBegin("flows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->flows.size()));
-    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter57;
-    for (_iter57 = this->flows.begin(); _iter57 != this->flows.end(); ++_iter57)
+    std::vector< ::sesamesaddle::schema::FlowKey> ::const_iterator _iter79;
+    for (_iter79 = this->flows.begin(); _iter79 != this->flows.end(); ++_iter79)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.digest_query) {
+    xfer += oprot->writeFieldBegin("digest_query", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->digest_query);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1499,26 +2208,37 @@
 void swap(FlowQuery &a, FlowQuery &b) {
   using ::std::swap;
   swap(a.flows, b.flows);
+  swap(a.digest_query, b.digest_query);
+  swap(a.__isset, b.__isset);
 }
 
-FlowQuery::FlowQuery(const FlowQuery& other58) {
-  flows = other58.flows;
+FlowQuery::FlowQuery(const FlowQuery& other80) {
+  flows = other80.flows;
+  digest_query = other80.digest_query;
+  __isset = other80.__isset;
 }
-FlowQuery::FlowQuery(FlowQuery&& other59) noexcept {
-  flows = std::move(other59.flows);
+FlowQuery::FlowQuery(FlowQuery&& other81) noexcept {
+  flows = std::move(other81.flows);
+  digest_query = other81.digest_query;
+  __isset = other81.__isset;
 }
-FlowQuery& FlowQuery::operator=(const FlowQuery& other60) {
-  flows = other60.flows;
+FlowQuery& FlowQuery::operator=(const FlowQuery& other82) {
+  flows = other82.flows;
+  digest_query = other82.digest_query;
+  __isset = other82.__isset;
   return *this;
 }
-FlowQuery& FlowQuery::operator=(FlowQuery&& other61) noexcept {
-  flows = std::move(other61.flows);
+FlowQuery& FlowQuery::operator=(FlowQuery&& other83) noexcept {
+  flows = std::move(other83.flows);
+  digest_query = other83.digest_query;
+  __isset = other83.__isset;
   return *this;
 }
 void FlowQuery::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "FlowQuery(";
   out << "flows=" << to_string(flows);
+  out << ", " << "digest_query="; (__isset.digest_query ? (out << to_string(digest_query)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1678,38 +2398,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaVersion::ReplicaVersion(const ReplicaVersion& other62) noexcept {
-  directory_revision = other62.directory_revision;
-  configuration_revision = other62.configuration_revision;
-  directory_era = other62.directory_era;
-  configuration_era = other62.configuration_era;
-  configuration_version = other62.configuration_version;
-  __isset = other62.__isset;
-}
-ReplicaVersion::ReplicaVersion(ReplicaVersion&& other63) noexcept {
-  directory_revision = other63.directory_revision;
-  configuration_revision = other63.configuration_revision;
-  directory_era = other63.directory_era;
-  configuration_era = other63.configuration_era;
-  configuration_version = other63.configuration_version;
-  __isset = other63.__isset;
-}
-ReplicaVersion& ReplicaVersion::operator=(const ReplicaVersion& other64) noexcept {
-  directory_revision = other64.directory_revision;
-  configuration_revision = other64.configuration_revision;
-  directory_era = other64.directory_era;
-  configuration_era = other64.configuration_era;
-  configuration_version = other64.configuration_version;
-  __isset = other64.__isset;
+ReplicaVersion::ReplicaVersion(const ReplicaVersion& other84) noexcept {
+  directory_revision = other84.directory_revision;
+  configuration_revision = other84.configuration_revision;
+  directory_era = other84.directory_era;
+  configuration_era = other84.configuration_era;
+  configuration_version = other84.configuration_version;
+  __isset = other84.__isset;
+}
+ReplicaVersion::ReplicaVersion(ReplicaVersion&& other85) noexcept {
+  directory_revision = other85.directory_revision;
+  configuration_revision = other85.configuration_revision;
+  directory_era = other85.directory_era;
+  configuration_era = other85.configuration_era;
+  configuration_version = other85.configuration_version;
+  __isset = other85.__isset;
+}
+ReplicaVersion& ReplicaVersion::operator=(const ReplicaVersion& other86) noexcept {
+  directory_revision = other86.directory_revision;
+  configuration_revision = other86.configuration_revision;
+  directory_era = other86.directory_era;
+  configuration_era = other86.configuration_era;
+  configuration_version = other86.configuration_version;
+  __isset = other86.__isset;
   return *this;
 }
-ReplicaVersion& ReplicaVersion::operator=(ReplicaVersion&& other65) noexcept {
-  directory_revision = other65.directory_revision;
-  configuration_revision = other65.configuration_revision;
-  directory_era = other65.directory_era;
-  configuration_era = other65.configuration_era;
-  configuration_version = other65.configuration_version;
-  __isset = other65.__isset;
+ReplicaVersion& ReplicaVersion::operator=(ReplicaVersion&& other87) noexcept {
+  directory_revision = other87.directory_revision;
+  configuration_revision = other87.configuration_revision;
+  directory_era = other87.directory_era;
+  configuration_era = other87.configuration_era;
+  configuration_version = other87.configuration_version;
+  __isset = other87.__isset;
   return *this;
 }
 void ReplicaVersion::printTo(std::ostream& out) const {
@@ -1861,34 +2581,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaEntry::ReplicaEntry(const ReplicaEntry& other66) {
-  key = other66.key;
-  value = other66.value;
-  revision = other66.revision;
-  era = other66.era;
-  __isset = other66.__isset;
-}
-ReplicaEntry::ReplicaEntry(ReplicaEntry&& other67) noexcept {
-  key = std::move(other67.key);
-  value = std::move(other67.value);
-  revision = other67.revision;
-  era = other67.era;
-  __isset = other67.__isset;
-}
-ReplicaEntry& ReplicaEntry::operator=(const ReplicaEntry& other68) {
-  key = other68.key;
-  value = other68.value;
-  revision = other68.revision;
-  era = other68.era;
-  __isset = other68.__isset;
+ReplicaEntry::ReplicaEntry(const ReplicaEntry& other88) {
+  key = other88.key;
+  value = other88.value;
+  revision = other88.revision;
+  era = other88.era;
+  __isset = other88.__isset;
+}
+ReplicaEntry::ReplicaEntry(ReplicaEntry&& other89) noexcept {
+  key = std::move(other89.key);
+  value = std::move(other89.value);
+  revision = other89.revision;
+  era = other89.era;
+  __isset = other89.__isset;
+}
+ReplicaEntry& ReplicaEntry::operator=(const ReplicaEntry& other90) {
+  key = other90.key;
+  value = other90.value;
+  revision = other90.revision;
+  era = other90.era;
+  __isset = other90.__isset;
   return *this;
 }
-ReplicaEntry& ReplicaEntry::operator=(ReplicaEntry&& other69) noexcept {
-  key = std::move(other69.key);
-  value = std::move(other69.value);
-  revision = other69.revision;
-  era = other69.era;
-  __isset = other69.__isset;
+ReplicaEntry& ReplicaEntry::operator=(ReplicaEntry&& other91) noexcept {
+  key = std::move(other91.key);
+  value = std::move(other91.value);
+  revision = other91.revision;
+  era = other91.era;
+  __isset = other91.__isset;
   return *this;
 }
 void ReplicaEntry::printTo(std::ostream& out) const {
@@ -1968,14 +2688,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->entries.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->entries.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->entries[_i74].read(iprot);
+              xfer += this->entries[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2018,10 +2738,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<ReplicaEntry> ::const_iterator _iter75;
-    for (_iter75 = this->entries.begin(); _iter75 != this->entries.end(); ++_iter75)
+    std::vector<ReplicaEntry> ::const_iterator _iter97;
+    for (_iter97 = this->entries.begin(); _iter97 != this->entries.end(); ++_iter97)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2039,26 +2759,26 @@
   swap(a.entries, b.entries);
 }
 
-ReplicaSnapshot::ReplicaSnapshot(const ReplicaSnapshot& other76) {
-  version = other76.version;
-  configuration = other76.configuration;
-  entries = other76.entries;
+ReplicaSnapshot::ReplicaSnapshot(const ReplicaSnapshot& other98) {
+  version = other98.version;
+  configuration = other98.configuration;
+  entries = other98.entries;
 }
-ReplicaSnapshot::ReplicaSnapshot(ReplicaSnapshot&& other77) noexcept {
-  version = std::move(other77.version);
-  configuration = std::move(other77.configuration);
-  entries = std::move(other77.entries);
+ReplicaSnapshot::ReplicaSnapshot(ReplicaSnapshot&& other99) noexcept {
+  version = std::move(other99.version);
+  configuration = std::move(other99.configuration);
+  entries = std::move(other99.entries);
 }
-ReplicaSnapshot& ReplicaSnapshot::operator=(const ReplicaSnapshot& other78) {
-  version = other78.version;
-  configuration = other78.configuration;
-  entries = other78.entries;
+ReplicaSnapshot& ReplicaSnapshot::operator=(const ReplicaSnapshot& other100) {
+  version = other100.version;
+  configuration = other100.configuration;
+  entries = other100.entries;
   return *this;
 }
-ReplicaSnapshot& ReplicaSnapshot::operator=(ReplicaSnapshot&& other79) noexcept {
-  version = std::move(other79.version);
-  configuration = std::move(other79.configuration);
-  entries = std::move(other79.entries);
+ReplicaSnapshot& ReplicaSnapshot::operator=(ReplicaSnapshot&& other101) noexcept {
+  version = std::move(other101.version);
+  configuration = std::move(other101.configuration);
+  entries = std::move(other101.entries);
   return *this;
 }
 void ReplicaSnapshot::printTo(std::ostream& out) const {
@@ -2089,6 +2809,11 @@
   this->query = val;
 __isset.query = true;
 }
+
+void SteeringMessage::__set_notice(const AgentNotice& val) {
+  this->notice = val;
+__isset.notice = true;
+}
 std::ostream& operator<<(std::ostream& out, const SteeringMessage& obj)
 {
   obj.printTo(out);
@@ -2141,6 +2866,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->notice.read(iprot);
+          this->__isset.notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2173,6 +2906,11 @@
     xfer += this->query.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.notice) {
+    xfer += oprot->writeFieldBegin("notice", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2183,33 +2921,38 @@
   swap(a.report, b.report);
   swap(a.version, b.version);
   swap(a.query, b.query);
+  swap(a.notice, b.notice);
   swap(a.__isset, b.__isset);
 }
 
-SteeringMessage::SteeringMessage(const SteeringMessage& other80) {
-  report = other80.report;
-  version = other80.version;
-  query = other80.query;
-  __isset = other80.__isset;
-}
-SteeringMessage::SteeringMessage(SteeringMessage&& other81) noexcept {
-  report = std::move(other81.report);
-  version = std::move(other81.version);
-  query = std::move(other81.query);
-  __isset = other81.__isset;
-}
-SteeringMessage& SteeringMessage::operator=(const SteeringMessage& other82) {
-  report = other82.report;
-  version = other82.version;
-  query = other82.query;
-  __isset = other82.__isset;
+SteeringMessage::SteeringMessage(const SteeringMessage& other102) {
+  report = other102.report;
+  version = other102.version;
+  query = other102.query;
+  notice = other102.notice;
+  __isset = other102.__isset;
+}
+SteeringMessage::SteeringMessage(SteeringMessage&& other103) noexcept {
+  report = std::move(other103.report);
+  version = std::move(other103.version);
+  query = std::move(other103.query);
+  notice = std::move(other103.notice);
+  __isset = other103.__isset;
+}
+SteeringMessage& SteeringMessage::operator=(const SteeringMessage& other104) {
+  report = other104.report;
+  version = other104.version;
+  query = other104.query;
+  notice = other104.notice;
+  __isset = other104.__isset;
   return *this;
 }
-SteeringMessage& SteeringMessage::operator=(SteeringMessage&& other83) noexcept {
-  report = std::move(other83.report);
-  version = std::move(other83.version);
-  query = std::move(other83.query);
-  __isset = other83.__isset;
+SteeringMessage& SteeringMessage::operator=(SteeringMessage&& other105) noexcept {
+  report = std::move(other105.report);
+  version = std::move(other105.version);
+  query = std::move(other105.query);
+  notice = std::move(other105.notice);
+  __isset = other105.__isset;
   return *this;
 }
 void SteeringMessage::printTo(std::ostream& out) const {
@@ -2218,6 +2961,7 @@
   out << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
   out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ", " << "query="; (__isset.query ? (out << to_string(query)) : (out << "<null>"));
+  out << ", " << "notice="; (__isset.notice ? (out << to_string(notice)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2345,14 +3089,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->targets.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->targets.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->targets[_i88].read(iprot);
+              xfer += this->targets[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2365,17 +3109,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->counters.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _ktype90;
-            ::apache::thrift::protocol::TType _vtype91;
-            xfer += iprot->readMapBegin(_ktype90, _vtype91, _size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _ktype112;
+            ::apache::thrift::protocol::TType _vtype113;
+            xfer += iprot->readMapBegin(_ktype112, _vtype113, _size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              std::string _key94;
-              xfer += iprot->readString(_key94);
-              int64_t& _val95 = this->counters[_key94];
-              xfer += iprot->readI64(_val95);
+              std::string _key116;
+              xfer += iprot->readString(_key116);
+              int64_t& _val117 = this->counters[_key116];
+              xfer += iprot->readI64(_val117);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2444,10 +3188,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetRecord> ::const_iterator _iter96;
-    for (_iter96 = this->targets.begin(); _iter96 != this->targets.end(); ++_iter96)
+    std::vector<TargetRecord> ::const_iterator _iter118;
+    for (_iter118 = this->targets.begin(); _iter118 != this->targets.end(); ++_iter118)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2456,11 +3200,11 @@
   xfer += oprot->writeFieldBegin("counters", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->counters.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter97;
-    for (_iter97 = this->counters.begin(); _iter97 != this->counters.end(); ++_iter97)
+    std::map<std::string, int64_t> ::const_iterator _iter119;
+    for (_iter119 = this->counters.begin(); _iter119 != this->counters.end(); ++_iter119)
     {
-      xfer += oprot->writeString(_iter97->first);
-      xfer += oprot->writeI64(_iter97->second);
+      xfer += oprot->writeString(_iter119->first);
+      xfer += oprot->writeI64(_iter119->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2483,46 +3227,46 @@
   swap(a.counters, b.counters);
 }
 
-SteeringState::SteeringState(const SteeringState& other98) {
-  name = other98.name;
-  role = other98.role;
-  zone = other98.zone;
-  ready = other98.ready;
-  stopping = other98.stopping;
-  version = other98.version;
-  targets = other98.targets;
-  counters = other98.counters;
-}
-SteeringState::SteeringState(SteeringState&& other99) noexcept {
-  name = std::move(other99.name);
-  role = std::move(other99.role);
-  zone = std::move(other99.zone);
-  ready = other99.ready;
-  stopping = other99.stopping;
-  version = std::move(other99.version);
-  targets = std::move(other99.targets);
-  counters = std::move(other99.counters);
-}
-SteeringState& SteeringState::operator=(const SteeringState& other100) {
-  name = other100.name;
-  role = other100.role;
-  zone = other100.zone;
-  ready = other100.ready;
-  stopping = other100.stopping;
-  version = other100.version;
-  targets = other100.targets;
-  counters = other100.counters;
+SteeringState::SteeringState(const SteeringState& other120) {
+  name = other120.name;
+  role = other120.role;
+  zone = other120.zone;
+  ready = other120.ready;
+  stopping = other120.stopping;
+  version = other120.version;
+  targets = other120.targets;
+  counters = other120.counters;
+}
+SteeringState::SteeringState(SteeringState&& other121) noexcept {
+  name = std::move(other121.name);
+  role = std::move(other121.role);
+  zone = std::move(other121.zone);
+  ready = other121.ready;
+  stopping = other121.stopping;
+  version = std::move(other121.version);
+  targets = std::move(other121.targets);
+  counters = std::move(other121.counters);
+}
+SteeringState& SteeringState::operator=(const SteeringState& other122) {
+  name = other122.name;
+  role = other122.role;
+  zone = other122.zone;
+  ready = other122.ready;
+  stopping = other122.stopping;
+  version = other122.version;
+  targets = other122.targets;
+  counters = other122.counters;
   return *this;
 }
-SteeringState& SteeringState::operator=(SteeringState&& other101) noexcept {
-  name = std::move(other101.name);
-  role = std::move(other101.role);
-  zone = std::move(other101.zone);
-  ready = other101.ready;
-  stopping = other101.stopping;
-  version = std::move(other101.version);
-  targets = std::move(other101.targets);
-  counters = std::move(other101.counters);
+SteeringState& SteeringState::operator=(SteeringState&& other123) noexcept {
+  name = std::move(other123.name);
+  role = std::move(other123.role);
+  zone = std::move(other123.zone);
+  ready = other123.ready;
+  stopping = other123.stopping;
+  version = std::move(other123.version);
+  targets = std::move(other123.targets);
+  counters = std::move(other123.counters);
   return *this;
 }
 void SteeringState::printTo(std::ostream& out) const {
--- a/packages/schema/gen/steering_types.h
+++ b/packages/schema/gen/steering_types.h
@@ -41,12 +41,20 @@
 
 class BalancerRecord;
 
+class ZoneState;
+
+class FlowDigest;
+
 class AgentReport;
 
 class RecordedFlow;
 
 class FlowRecord;
 
+class SlowStartLimit;
+
+class AgentNotice;
+
 class FlowQuery;
 
 class ReplicaVersion;
@@ -207,9 +215,113 @@
 
 std::ostream& operator<<(std::ostream& out, const BalancerRecord& obj);
 
+
+class ZoneState : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneState(const ZoneState&);
+  ZoneState(ZoneState&&) noexcept;
+  ZoneState& operator=(const ZoneState&);
+  ZoneState& operator=(ZoneState&&) noexcept;
+  ZoneState() noexcept
+            : zone(),
+              evacuated(0),
+              revision(0),
+              era(0) {
+  }
+
+  virtual ~ZoneState() noexcept;
+  std::string zone;
+  bool evacuated;
+  int64_t revision;
+  int64_t era;
+
+  void __set_zone(const std::string& val);
+
+  void __set_evacuated(const bool val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_era(const int64_t val);
+
+  bool operator == (const ZoneState & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(evacuated == rhs.evacuated))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(era == rhs.era))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneState &a, ZoneState &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneState& obj);
+
+
+class FlowDigest : public virtual ::apache::thrift::TBase {
+ public:
+
+  FlowDigest(const FlowDigest&);
+  FlowDigest(FlowDigest&&) noexcept;
+  FlowDigest& operator=(const FlowDigest&);
+  FlowDigest& operator=(FlowDigest&&) noexcept;
+  FlowDigest() noexcept
+             : query(0) {
+  }
+
+  virtual ~FlowDigest() noexcept;
+  int32_t query;
+  std::vector<int32_t>  hashes;
+
+  void __set_query(const int32_t val);
+
+  void __set_hashes(const std::vector<int32_t> & val);
+
+  bool operator == (const FlowDigest & rhs) const
+  {
+    if (!(query == rhs.query))
+      return false;
+    if (!(hashes == rhs.hashes))
+      return false;
+    return true;
+  }
+  bool operator != (const FlowDigest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FlowDigest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FlowDigest &a, FlowDigest &b);
+
+std::ostream& operator<<(std::ostream& out, const FlowDigest& obj);
+
 typedef struct _AgentReport__isset {
-  _AgentReport__isset() : failing(true) {}
+  _AgentReport__isset() : failing(true), zone(false), slow_start_room(false), digest(false) {}
   bool failing :1;
+  bool zone :1;
+  bool slow_start_room :1;
+  bool digest :1;
 } _AgentReport__isset;
 
 class AgentReport : public virtual ::apache::thrift::TBase {
@@ -231,7 +343,8 @@
                 restarting(0),
                 silent(0),
                 queued(0),
-                failing(false) {
+                failing(false),
+                slow_start_room(0) {
   }
 
   virtual ~AgentReport() noexcept;
@@ -255,6 +368,9 @@
   int32_t queued;
   std::vector< ::sesamesaddle::schema::FlowKey>  unsure;
   bool failing;
+  ZoneState zone;
+  int32_t slow_start_room;
+  FlowDigest digest;
 
   _AgentReport__isset __isset;
 
@@ -290,6 +406,12 @@
 
   void __set_failing(const bool val);
 
+  void __set_zone(const ZoneState& val);
+
+  void __set_slow_start_room(const int32_t val);
+
+  void __set_digest(const FlowDigest& val);
+
   bool operator == (const AgentReport & rhs) const
   {
     if (!(agent == rhs.agent))
@@ -326,6 +448,18 @@
       return false;
     else if (__isset.failing && !(failing == rhs.failing))
       return false;
+    if (__isset.zone != rhs.__isset.zone)
+      return false;
+    else if (__isset.zone && !(zone == rhs.zone))
+      return false;
+    if (__isset.slow_start_room != rhs.__isset.slow_start_room)
+      return false;
+    else if (__isset.slow_start_room && !(slow_start_room == rhs.slow_start_room))
+      return false;
+    if (__isset.digest != rhs.__isset.digest)
+      return false;
+    else if (__isset.digest && !(digest == rhs.digest))
+      return false;
     return true;
   }
   bool operator != (const AgentReport &rhs) const {
@@ -453,6 +587,121 @@
 std::ostream& operator<<(std::ostream& out, const FlowRecord& obj);
 
 
+class SlowStartLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  SlowStartLimit(const SlowStartLimit&) noexcept;
+  SlowStartLimit(SlowStartLimit&&) noexcept;
+  SlowStartLimit& operator=(const SlowStartLimit&) noexcept;
+  SlowStartLimit& operator=(SlowStartLimit&&) noexcept;
+  SlowStartLimit() noexcept
+                 : duration_ms(0),
+                   flows_per_second(0),
+                   configuration_version(0) {
+  }
+
+  virtual ~SlowStartLimit() noexcept;
+  int32_t duration_ms;
+  double flows_per_second;
+  int64_t configuration_version;
+
+  void __set_duration_ms(const int32_t val);
+
+  void __set_flows_per_second(const double val);
+
+  void __set_configuration_version(const int64_t val);
+
+  bool operator == (const SlowStartLimit & rhs) const
+  {
+    if (!(duration_ms == rhs.duration_ms))
+      return false;
+    if (!(flows_per_second == rhs.flows_per_second))
+      return false;
+    if (!(configuration_version == rhs.configuration_version))
+      return false;
+    return true;
+  }
+  bool operator != (const SlowStartLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SlowStartLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SlowStartLimit &a, SlowStartLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const SlowStartLimit& obj);
+
+typedef struct _AgentNotice__isset {
+  _AgentNotice__isset() : zone(false), slow_start(false) {}
+  bool zone :1;
+  bool slow_start :1;
+} _AgentNotice__isset;
+
+class AgentNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  AgentNotice(const AgentNotice&);
+  AgentNotice(AgentNotice&&) noexcept;
+  AgentNotice& operator=(const AgentNotice&);
+  AgentNotice& operator=(AgentNotice&&) noexcept;
+  AgentNotice() noexcept
+              : configuration_version(0) {
+  }
+
+  virtual ~AgentNotice() noexcept;
+  ZoneState zone;
+  SlowStartLimit slow_start;
+  int64_t configuration_version;
+
+  _AgentNotice__isset __isset;
+
+  void __set_zone(const ZoneState& val);
+
+  void __set_slow_start(const SlowStartLimit& val);
+
+  void __set_configuration_version(const int64_t val);
+
+  bool operator == (const AgentNotice & rhs) const
+  {
+    if (__isset.zone != rhs.__isset.zone)
+      return false;
+    else if (__isset.zone && !(zone == rhs.zone))
+      return false;
+    if (__isset.slow_start != rhs.__isset.slow_start)
+      return false;
+    else if (__isset.slow_start && !(slow_start == rhs.slow_start))
+      return false;
+    if (!(configuration_version == rhs.configuration_version))
+      return false;
+    return true;
+  }
+  bool operator != (const AgentNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AgentNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AgentNotice &a, AgentNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const AgentNotice& obj);
+
+typedef struct _FlowQuery__isset {
+  _FlowQuery__isset() : digest_query(false) {}
+  bool digest_query :1;
+} _FlowQuery__isset;
+
 class FlowQuery : public virtual ::apache::thrift::TBase {
  public:
 
@@ -460,18 +709,28 @@
   FlowQuery(FlowQuery&&) noexcept;
   FlowQuery& operator=(const FlowQuery&);
   FlowQuery& operator=(FlowQuery&&) noexcept;
-  FlowQuery() noexcept {
+  FlowQuery() noexcept
+            : digest_query(0) {
   }
 
   virtual ~FlowQuery() noexcept;
   std::vector< ::sesamesaddle::schema::FlowKey>  flows;
+  int32_t digest_query;
+
+  _FlowQuery__isset __isset;
 
   void __set_flows(const std::vector< ::sesamesaddle::schema::FlowKey> & val);
 
+  void __set_digest_query(const int32_t val);
+
   bool operator == (const FlowQuery & rhs) const
   {
     if (!(flows == rhs.flows))
       return false;
+    if (__isset.digest_query != rhs.__isset.digest_query)
+      return false;
+    else if (__isset.digest_query && !(digest_query == rhs.digest_query))
+      return false;
     return true;
   }
   bool operator != (const FlowQuery &rhs) const {
@@ -682,10 +941,11 @@
 std::ostream& operator<<(std::ostream& out, const ReplicaSnapshot& obj);
 
 typedef struct _SteeringMessage__isset {
-  _SteeringMessage__isset() : report(false), version(false), query(false) {}
+  _SteeringMessage__isset() : report(false), version(false), query(false), notice(false) {}
   bool report :1;
   bool version :1;
   bool query :1;
+  bool notice :1;
 } _SteeringMessage__isset;
 
 class SteeringMessage : public virtual ::apache::thrift::TBase {
@@ -702,6 +962,7 @@
   AgentReport report;
   ReplicaVersion version;
   FlowQuery query;
+  AgentNotice notice;
 
   _SteeringMessage__isset __isset;
 
@@ -711,6 +972,8 @@
 
   void __set_query(const FlowQuery& val);
 
+  void __set_notice(const AgentNotice& val);
+
   bool operator == (const SteeringMessage & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -725,6 +988,10 @@
       return false;
     else if (__isset.query && !(query == rhs.query))
       return false;
+    if (__isset.notice != rhs.__isset.notice)
+      return false;
+    else if (__isset.notice && !(notice == rhs.notice))
+      return false;
     return true;
   }
   bool operator != (const SteeringMessage &rhs) const {
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -36,6 +36,22 @@
   4: required messages.PackedEndpoint replica
 }
 
+// Whether an availability zone is evacuated: its targets get no new flows.
+struct ZoneState {
+  1: required string zone
+  2: required bool evacuated
+  // Store revision and era at which the state was set; the later one wins.
+  3: required i64 revision
+  4: required i64 era
+}
+
+// All flows that a target holds, as hashes (HashFlow, low 32 bits).
+struct FlowDigest {
+  // Number of the query that this digest replies to.
+  1: required i32 query
+  2: required list<i32> hashes
+}
+
 // Sent by an agent to the balancers that send it packets.
 struct AgentReport {
   1: required messages.PackedEndpoint agent
@@ -67,6 +83,14 @@
   15: required list<messages.FlowKey> unsure
   // Requests to the target fail, judged by the responses that pass the agent.
   16: optional bool failing = false
+  // State of the agent's availability zone as the agent knows it.
+  17: optional ZoneState zone
+  // New flows that a target in slow start still accepts within this second;
+  // absent if it is not limited.
+  18: optional i32 slow_start_room
+  // Reply to a query that asks for a digest; absent if the agent cannot know
+  // all flows of its target or they are too many.
+  19: optional FlowDigest digest
 }
 
 // A flow that a target held when its agent recorded it.
@@ -87,10 +111,34 @@
   3: required list<RecordedFlow> flows
 }
 
+// Limit of new flows to a target in its slow start, from the configuration.
+struct SlowStartLimit {
+  // Duration of the slow start in milliseconds.
+  1: required i32 duration_ms
+  // New flows per second that a target accepts meanwhile; above 0.
+  2: required double flows_per_second
+  // Version of the configuration that sets the limit.
+  3: required i64 configuration_version
+}
+
+// Sent by a balancer to an agent: what the agent needs of the operators'
+// settings, which it does not read from the store itself.
+struct AgentNotice {
+  // State of the agent's availability zone, if it was ever evacuated.
+  1: optional ZoneState zone
+  // Of the agent's service; absent if the configuration sets none.
+  2: optional SlowStartLimit slow_start
+  // Version of the configuration that the balancer uses.
+  3: required i64 configuration_version
+}
+
 // Sent by a balancer to locate the targets that hold the flows; agents respond
 // with an AgentReport.
 struct FlowQuery {
   1: required list<messages.FlowKey> flows
+  // Asks for a digest of all flows; the reply repeats this number. Numbers of a
+  // balancer increase, starting at 1.
+  2: optional i32 digest_query
 }
 
 // The store revisions that a balancer's replica reflects.
@@ -127,6 +175,7 @@
   1: optional AgentReport report
   2: optional ReplicaVersion version
   3: optional FlowQuery query
+  4: optional AgentNotice notice
 }
 
 // State dump of a process that steers flows.
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -10,13 +10,13 @@
 #include <utility>
 #include <vector>
 
+#include "admission/handshake_time_estimator.h"
+#include "admission/syn_queue.h"
 #include "core/endpoint.h"
 #include "core/event_log.h"
 #include "core/time.h"
-#include "steering/handshake_time_estimator.h"
-#include "steering/packet.h"
+#include "flow_model/packet.h"
 #include "steering/report_rate_controller.h"
-#include "steering/syn_queue.h"
 #include "steering/target_failure_detector.h"
 #include "steering/target_monitor.h"
 #include "steering_types.h"
@@ -144,6 +144,9 @@
   /** Handles a balancer's query for the holders of flows. */
   void OnQuery(TimePoint now, const Endpoint& balancer,
                const schema::FlowQuery& query);
+  /** Handles a balancer's notice of the operators' settings. */
+  void OnNotice(TimePoint now, const Endpoint& balancer,
+                const schema::AgentNotice& notice);
   /** Handles a packet that the target sent or returned. */
   void OnTargetPacket(TimePoint now, char* packet, size_t size);
   AnnouncementEffect OnAnnouncement(TimePoint now,
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -10,18 +10,18 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/admission_control.h"
 #include "core/endpoint.h"
 #include "core/event_log.h"
 #include "core/time.h"
-#include "steering/admission_control.h"
-#include "steering/flow_locator.h"
-#include "steering/packet.h"
-#include "steering/placement.h"
+#include "flow_location/flow_locator.h"
+#include "flow_location/route_history.h"
+#include "flow_model/packet.h"
+#include "flow_model/route_table.h"
+#include "placement/placement.h"
+#include "placement/split_overflow.h"
+#include "placement/target_directory.h"
 #include "steering/report_rate_controller.h"
-#include "steering/route_history.h"
-#include "steering/route_table.h"
-#include "steering/split_overflow.h"
-#include "steering/target_directory.h"
 #include "steering_types.h"
 
 namespace sesamesaddle {
@@ -34,6 +34,8 @@
   virtual void ToAgent(const Endpoint& agent, std::string_view packet) = 0;
   virtual void ToClient(const Endpoint& client, std::string_view packet) = 0;
   virtual void Query(const Endpoint& agent, const schema::FlowQuery& query) = 0;
+  virtual void Notify(const Endpoint& agent,
+                      const schema::AgentNotice& notice) = 0;
   /**
    * Reads the entries from the store, then calls FlowBalancer::OnDirectoryRead.
    * Called again while a flow waits for it.
@@ -258,6 +260,8 @@
   /** Resets a flow of an unreachable agent. */
   void ResetForSilentTarget(const Flow& flow, const FlowEntry& entry);
   void UpdateReportPeriod(TimePoint now);
+  /** Returns what the agent needs of the operators' settings. */
+  schema::AgentNotice MakeNotice(const AgentView& agent) const;
   void StartSearch(TimePoint now, const Flow& flow, const PacketHeader& header,
                    std::string_view packet,
                    const std::vector<Endpoint>& likely_holders,
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -196,6 +196,11 @@
   return peers;
 }
 
+void FlowAgent::OnNotice(TimePoint now, const Endpoint& balancer,
+                         const schema::AgentNotice& /*notice*/) {
+  RecordUrgentContact(now, balancer);
+}
+
 void FlowAgent::ReportToAll() {
   for (auto& [endpoint, balancer_state] : balancers_) {
     balancer_state.urgent = true;
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "steering/syn_patience.h"
+#include "admission/syn_patience.h"
 
 namespace sesamesaddle {
 namespace {
--- a/packages/steering/src/flow_balancer_agents.cc
+++ b/packages/steering/src/flow_balancer_agents.cc
@@ -143,6 +143,12 @@
   }
 }
 
+schema::AgentNotice FlowBalancer::MakeNotice(const AgentView& /*agent*/) const {
+  schema::AgentNotice notice;
+  notice.configuration_version = routes_.version;
+  return notice;
+}
+
 void FlowBalancer::ForgetFlowsOf(const AgentView& agent) {
   for (auto& [flow, entry] : flows_) {
     if (entry.agent == agent.agent) entry.ended = true;
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -3,16 +3,13 @@
 #include <string>
 #include <vector>
 
+#include "admission/admission_control.h"
+#include "placement/placement.h"
 #include "silent_log.h"
-#include "steering/admission_control.h"
-#include "steering/handshake_time_estimator.h"
-#include "steering/placement.h"
-#include "steering/syn_patience.h"
-#include "steering/syn_queue.h"
-#include "steering/target_directory.h"
 #include "steering/target_failure_detector.h"
 #include "steering/target_monitor.h"
 #include "steering_world.h"
+#include "target_fixtures.h"
 #include "test_packet_codec.h"
 
 namespace sesamesaddle {
@@ -23,186 +20,6 @@
 
 const TimePoint kNow(seconds(1000));
 
-schema::TargetRecord MakeRecord(uint32_t agent, const std::string& zone = "z",
-                                const std::string& id = "t") {
-  schema::TargetRecord record;
-  record.id = id;
-  record.born_ms = 1;
-  record.service_name = "orders";
-  record.agent = Endpoint(agent, 8172).Pack();
-  record.zone = zone;
-  record.slots = 2;
-  record.state = schema::TargetState::kReady;
-  record.slow_start_ms = 0;
-  return record;
-}
-
-schema::AgentReport MakeReport(uint32_t agent) {
-  schema::AgentReport report;
-  report.agent = Endpoint(agent, 8172).Pack();
-  report.service_name = "orders";
-  report.state = schema::TargetState::kReady;
-  report.slots = 2;
-  return report;
-}
-
-Flow MakeFlow(uint32_t i) { return {Endpoint(i, 40000), Endpoint(9, 443)}; }
-
-// --- Target directory -----------------------------------------------------
-
-TEST_CASE("An older revision of an entry is ignored") {
-  TargetDirectory directory;
-  directory.Put(kNow, "k", MakeRecord(1, "z", "new"), StoreRevision(20));
-  directory.Put(kNow, "k", MakeRecord(1, "z", "old"), StoreRevision(10));
-  directory.Remove(kNow, "k", StoreRevision(15));
-  const AgentView* view = directory.Find(Endpoint(1, 8172));
-  REQUIRE(view != nullptr);
-  CHECK(view->record.id == "new");
-  CHECK(view->listed);
-}
-
-TEST_CASE(
-    "An unlisted entry is dropped after the grace period unless it reports") {
-  TargetDirectory directory;
-  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
-  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
-  directory.Remove(kNow, "a", StoreRevision(3));
-  directory.Remove(kNow, "b", StoreRevision(4));
-  const TimePoint later = kNow + milliseconds(2600);
-  directory.OnReport(later - milliseconds(100), MakeReport(2));
-  CHECK(directory.Expire(kNow + milliseconds(2000), true).empty());
-  // With a directory that is not current, a missing entry is no reason to drop.
-  CHECK(directory.Expire(later, false).empty());
-  CHECK(directory.Expire(later, true) ==
-        std::vector<Endpoint>{Endpoint(1, 8172)});
-  CHECK(directory.Find(Endpoint(2, 8172)) != nullptr);
-}
-
-TEST_CASE("An entry that is listed again in time is usable") {
-  TargetDirectory directory;
-  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
-  directory.Remove(kNow, "a", StoreRevision(2));
-  directory.Put(kNow + seconds(2), "a", MakeRecord(1), StoreRevision(3));
-  CHECK(directory.Expire(kNow + seconds(10), true).empty());
-  CHECK(directory.Usable(kNow, *directory.Find(Endpoint(1, 8172))));
-}
-
-TEST_CASE("A silent, draining or restarting agent gets no new flows") {
-  TargetDirectory directory;
-  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
-  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
-  AgentView& view = *directory.Find(Endpoint(1, 8172));
-  TargetDirectory::RecordReportRequest(kNow, view);
-  // Without a report from any agent this process may be the disconnected one.
-  CHECK(directory.Usable(kNow + milliseconds(451), view));
-  directory.OnReport(kNow + milliseconds(400), MakeReport(2));
-  CHECK(directory.Usable(kNow + milliseconds(450), view));
-  CHECK_FALSE(directory.Usable(kNow + milliseconds(451), view));
-  schema::AgentReport report = MakeReport(1);
-  directory.OnReport(kNow + milliseconds(700), report);
-  CHECK(directory.Usable(kNow + milliseconds(700), view));
-  report.restarting = true;
-  directory.OnReport(kNow, report);
-  CHECK_FALSE(directory.Usable(kNow, view));
-  report.restarting = false;
-  report.state = schema::TargetState::kDraining;
-  directory.OnReport(kNow, report);
-  CHECK_FALSE(directory.Usable(kNow, view));
-}
-
-TEST_CASE(
-    "An agent whose target changes its service is listed under the new one") {
-  TargetDirectory directory;
-  directory.Put(kNow, "k", MakeRecord(1), StoreRevision(1));
-  schema::TargetRecord other = MakeRecord(1, "z", "next");
-  other.service_name = "reports";
-  directory.Put(kNow, "k", other, StoreRevision(2));
-  directory.Put(kNow, "k", other, StoreRevision(3));
-  CHECK(directory.OfService("orders").empty());
-  CHECK(directory.OfService("reports").size() == 1);
-  directory.Remove(kNow, "k", StoreRevision(4));
-  CHECK(directory.Expire(kNow + seconds(5), true).size() == 1);
-  CHECK(directory.OfService("reports").empty());
-}
-
-TEST_CASE("A silent agent is usable again after the retry delay") {
-  TargetDirectory directory;
-  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
-  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
-  AgentView& view = *directory.Find(Endpoint(1, 8172));
-  TargetDirectory::RecordReportRequest(kNow, view);
-  const TimePoint later = kNow + milliseconds(700);
-  directory.OnReport(later, MakeReport(2));
-  CHECK_FALSE(directory.Usable(later, view));
-  const TimePoint again = later + TargetDirectory::kSilentAgentRetryDelay;
-  directory.OnReport(again, MakeReport(2));
-  CHECK(directory.Usable(again, view));
-  // The retry delay starts again if the agent is still silent.
-  TargetDirectory::RecordReportRequest(again, view);
-  CHECK(directory.Usable(again + milliseconds(500), view));
-  directory.OnReport(again + milliseconds(700), MakeReport(2));
-  CHECK_FALSE(directory.Usable(again + milliseconds(700), view));
-}
-
-TEST_CASE("One lost report does not make an agent unreachable") {
-  TargetDirectory directory;
-  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
-  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
-  AgentView& view = *directory.Find(Endpoint(1, 8172));
-  TargetDirectory::RecordReportRequest(kNow, view);
-  const TimePoint later = kNow + milliseconds(700);
-  directory.OnReport(later, MakeReport(2));
-  CHECK(directory.Silent(later, view));
-  CHECK_FALSE(directory.Unreachable(later, view));
-  TargetDirectory::RecordReportRequest(later, view);
-  CHECK_FALSE(directory.Unreachable(later + milliseconds(15), view));
-}
-
-TEST_CASE("An agent that answers no packet becomes unreachable") {
-  TargetDirectory directory;
-  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
-  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
-  AgentView& view = *directory.Find(Endpoint(1, 8172));
-  TimePoint now = kNow;
-  for (; now <= kNow + TargetDirectory::kSilenceTimeout;
-       now += milliseconds(10)) {
-    CHECK_FALSE(directory.Unreachable(now, view));
-    TargetDirectory::RecordReportRequest(now, view);
-    directory.OnReport(now, MakeReport(2));
-  }
-  CHECK(directory.Unreachable(now, view));
-  directory.OnReport(now, MakeReport(1));
-  CHECK_FALSE(directory.Unreachable(now, view));
-}
-
-TEST_CASE("A restarting agent is usable after its new entry or a timeout") {
-  TargetDirectory directory;
-  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
-  AgentView& view = *directory.Find(Endpoint(1, 8172));
-  schema::AgentReport report = MakeReport(1);
-  report.restarting = true;
-  directory.OnReport(kNow, report);
-  CHECK_FALSE(directory.Usable(kNow, view));
-  SECTION("new entry") {
-    directory.Put(kNow + milliseconds(500), "a", MakeRecord(1),
-                  StoreRevision(2));
-    CHECK(directory.Usable(kNow + milliseconds(500), view));
-  }
-  SECTION("timeout, as when the store is unavailable") {
-    CHECK(directory.Usable(kNow + TargetDirectory::kRestartTimeout, view));
-  }
-}
-
-TEST_CASE("A report about another service is ignored") {
-  TargetDirectory directory;
-  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
-  schema::AgentReport report = MakeReport(1);
-  report.service_name = "reports";
-  report.waiting = 9;
-  directory.OnReport(kNow, report);
-  CHECK(directory.Find(Endpoint(1, 8172))->in_flight == 0);
-}
-
 // --- Target monitor ---------------------------------------------------------
 
 TargetAnnouncement MakeAnnouncement(const std::string& id, int64_t born,
@@ -319,191 +136,6 @@
   CHECK(monitor.gone());
 }
 
-// --- Placement ------------------------------------------------------------
-
-TEST_CASE("Placement prefers the own zone and a shorter wait") {
-  TargetDirectory directory;
-  directory.Put(kNow, "a", MakeRecord(1, "here"), StoreRevision(1));
-  directory.Put(kNow, "b", MakeRecord(2, "there"), StoreRevision(2));
-  LeastWaitPlacement placement(Topology("here"), directory);
-  const auto choose = [&] {
-    return placement.Choose(kNow, {MakeFlow(1), {}},
-                            directory.OfService("orders"));
-  };
-  CHECK(choose()->agent == Endpoint(1, 8172));
-  schema::AgentReport busy = MakeReport(1);
-  busy.waiting = 2;
-  directory.OnReport(kNow, busy);
-  CHECK(choose()->agent == Endpoint(2, 8172));
-  AgentView* other = directory.Find(Endpoint(2, 8172));
-  other->placed_since_report = 2;
-  CHECK(choose()->agent == Endpoint(1, 8172));
-  CHECK(placement.Choose(kNow, {MakeFlow(1), {Endpoint(1, 8172)}},
-                         directory.OfService("orders")) == other);
-  CHECK(placement.Choose(kNow,
-                         {MakeFlow(1), {Endpoint(1, 8172), Endpoint(2, 8172)}},
-                         directory.OfService("orders")) == nullptr);
-}
-
-TEST_CASE("Targets of the own region are used until they are much busier") {
-  const Topology here("here",
-                      {{"here", "east"}, {"there", "east"}, {"far", "west"}});
-  TargetDirectory directory;
-  for (uint32_t i = 1; i <= 6; ++i) {
-    directory.Put(kNow, std::to_string(i),
-                  MakeRecord(i, i <= 2   ? "here"
-                                : i <= 4 ? "there"
-                                         : "far"),
-                  StoreRevision(i));
-  }
-  LeastWaitPlacement placement(here, directory);
-  const auto in_far = [&](int work) {
-    for (uint32_t i = 1; i <= 4; ++i) {
-      schema::AgentReport report = MakeReport(i);
-      report.waiting = work;
-      directory.OnReport(kNow, report);
-    }
-    int count = 0;
-    for (uint32_t i = 0; i < 100; ++i) {
-      const AgentView* chosen = placement.Choose(kNow, {MakeFlow(i), {}},
-                                                 directory.OfService("orders"));
-      count += static_cast<int>(chosen->record.zone == "far");
-    }
-    return count;
-  };
-  CHECK(in_far(0) == 0);
-  CHECK(in_far(4) == 0);  // Two requests per slot still finish earlier here.
-  CHECK(in_far(8) == 100);
-  // A balancer without a target in its region uses other regions.
-  const Topology alone("alone", {{"alone", "north"}, {"far", "west"}});
-  CHECK(FlowCandidates(MakeFlow(1), alone, {directory.Find(Endpoint(5, 8172))})
-            .size() == 1);
-}
-
-TEST_CASE("A zone without a known region counts as the same region") {
-  const Topology topology("a", {{"a", "east"}, {"b", "west"}});
-  CHECK(topology.DistanceTo("a") == Distance::kSameZone);
-  CHECK(topology.DistanceTo("b") == Distance::kOtherRegion);
-  CHECK(topology.DistanceTo("c") == Distance::kSameRegion);
-  CHECK(Topology("x").DistanceTo("b") == Distance::kSameRegion);
-}
-
-TEST_CASE("A target with a longer response time is not chosen at equal load") {
-  TargetDirectory directory;
-  for (uint32_t i = 1; i <= 3; ++i) {
-    directory.Put(kNow, std::to_string(i), MakeRecord(i), StoreRevision(i));
-    schema::AgentReport report = MakeReport(i);
-    report.waiting = 1;
-    report.response_us = i == 1 ? 100000 : 20000;
-    directory.OnReport(kNow, report);
-  }
-  LeastWaitPlacement placement(Topology("z"), directory);
-  for (uint32_t i = 0; i < 100; ++i) {
-    const AgentView* chosen = placement.Choose(kNow, {MakeFlow(i), {}},
-                                               directory.OfService("orders"));
-    CHECK(chosen->agent != Endpoint(1, 8172));
-  }
-}
-
-TEST_CASE("Flows of a route are spread over its services by weight") {
-  Route route;
-  route.services = {{"x", 90}, {"y", 10}};
-  int to_y = 0;
-  for (uint32_t i = 0; i < 10000; ++i) {
-    const std::string& service = PickService(route, MakeFlow(i));
-    if (service == "y") ++to_y;
-    CHECK(service == PickService(route, MakeFlow(i)));
-  }
-  CHECK(to_y > 850);
-  CHECK(to_y < 1150);
-}
-
-// --- Queue and admission --------------------------------------------------
-
-QueuedSyn MakeQueuedSyn(uint32_t flow, int priority, TimePoint arrived,
-                        Duration target_latency = milliseconds(100)) {
-  QueuedSyn syn;
-  syn.flow = MakeFlow(flow);
-  syn.priority = priority;
-  syn.arrived = arrived;
-  syn.target_latency = target_latency;
-  return syn;
-}
-
-TEST_CASE(
-    "Queued SYNs leave by priority, then in-time ones, then oldest first") {
-  SynQueue queue;
-  queue.Push(MakeQueuedSyn(1, 2, kNow - milliseconds(150)), 4);  // Late.
-  queue.Push(MakeQueuedSyn(2, 2, kNow - milliseconds(20)), 4);
-  queue.Push(MakeQueuedSyn(3, 2, kNow - milliseconds(50)), 4);
-  queue.Push(MakeQueuedSyn(4, 1, kNow - milliseconds(150)), 4);
-  std::vector<Flow> order;
-  while (auto syn = queue.Pop(kNow)) order.push_back(syn->flow);
-  CHECK(order ==
-        std::vector<Flow>{MakeFlow(4), MakeFlow(3), MakeFlow(2), MakeFlow(1)});
-}
-
-TEST_CASE("Queued SYNs of clients that have probably given up leave last") {
-  // A client sends copies after 200 and 600 ms.
-  CHECK_FALSE(SynPatience::ProbablyAbandoned(milliseconds(240), 0));
-  CHECK(SynPatience::ProbablyAbandoned(milliseconds(260), 0));
-  CHECK_FALSE(SynPatience::ProbablyAbandoned(milliseconds(260), 1));
-  CHECK(SynPatience::ProbablyAbandoned(milliseconds(660), 1));
-  CHECK_FALSE(SynPatience::ProbablyAbandoned(milliseconds(660), 2));
-  SynQueue queue;
-  queue.Push(MakeQueuedSyn(1, 1, kNow - milliseconds(300)), 4);
-  queue.Push(MakeQueuedSyn(2, 1, kNow - milliseconds(290)), 4);
-  queue.Push(MakeQueuedSyn(3, 2, kNow - milliseconds(20)), 4);
-  CHECK(queue.RecordCopy(MakeFlow(2), 1));
-  CHECK_FALSE(queue.RecordCopy(MakeFlow(9), 1));
-  std::vector<Flow> order;
-  while (auto syn = queue.Pop(kNow)) order.push_back(syn->flow);
-  CHECK(order == std::vector<Flow>{MakeFlow(2), MakeFlow(3), MakeFlow(1)});
-}
-
-TEST_CASE("The SYN queue is bounded in length and waiting time") {
-  SynQueue queue;
-  for (uint32_t i = 0; i < SynQueue::kMaxQueuedPerSlot; ++i) {
-    CHECK(queue.Push(MakeQueuedSyn(i, 0, kNow), 1));
-  }
-  CHECK_FALSE(queue.Push(MakeQueuedSyn(99, 0, kNow), 1));
-  CHECK(queue.TakeExpired(kNow + SynQueue::kMaxWait).empty());
-  CHECK(queue.TakeExpired(kNow + SynQueue::kMaxWait + milliseconds(1)).size() ==
-        SynQueue::kMaxQueuedPerSlot);
-  CHECK(queue.empty());
-}
-
-TEST_CASE("The handshake timeout follows the handshake time") {
-  HandshakeTimeEstimator handshakes;
-  CHECK(handshakes.Timeout() == HandshakeTimeEstimator::kMaxTimeout);
-  for (int i = 0; i < 100; ++i) handshakes.AddSample(milliseconds(4 + i % 3));
-  CHECK(handshakes.Timeout() < milliseconds(15));
-  CHECK(handshakes.Timeout() >= HandshakeTimeEstimator::kMinTimeout);
-  // The time of a retransmitted SYN is not a sample of the handshake time.
-  const Duration before = handshakes.Timeout();
-  handshakes.AddSample(milliseconds(204));
-  CHECK(handshakes.Timeout() == before);
-  // The timeout grows with the handshake time.
-  for (int i = 0; i < 100; ++i) handshakes.AddSample(milliseconds(60));
-  CHECK(handshakes.Timeout() >= milliseconds(60));
-}
-
-TEST_CASE("A flow is refused only after the wait limit and without room") {
-  Route route;
-  route.timeout = milliseconds(900);
-  using Decision = AdmissionDecision;
-  CHECK(AdmissionControl::Decide(route, 8.0, milliseconds(0)) ==
-        Decision::kPlace);
-  CHECK(AdmissionControl::Decide(route, 8.1, milliseconds(299)) ==
-        Decision::kWait);
-  CHECK(AdmissionControl::Decide(route, 8.1, milliseconds(300)) ==
-        Decision::kRefuse);
-  CHECK(AdmissionControl::Decide(route, 2.0, milliseconds(300)) ==
-        Decision::kPlace);
-  route.timeout = seconds(10);
-  CHECK(AdmissionControl::WaitLimit(route) == AdmissionControl::kMaxWait);
-}
-
 /** Counts the packets that a balancer sends. */
 class CountingOutput : public FlowBalancerOutput {
  public:
@@ -517,6 +149,8 @@
   }
   void Query(const Endpoint& /*agent*/,
              const schema::FlowQuery& /*query*/) override {}
+  void Notify(const Endpoint& /*agent*/,
+              const schema::AgentNotice& /*notice*/) override {}
   void RefreshDirectory() override {}
 
   int to_agents = 0;
@@ -558,23 +192,6 @@
   CHECK(output.to_clients == 0);
 }
 
-TEST_CASE("SynTimes are unchanged or clipped by Pack and Unpack") {
-  const SynTimes times =
-      SynTimes::Unpack(SynTimes{milliseconds(70), milliseconds(120)}.Pack());
-  CHECK(times.waited == milliseconds(70));
-  CHECK(times.target_latency == milliseconds(120));
-  CHECK_FALSE(times.runs_once);
-  const SynTimes once = SynTimes::Unpack(
-      SynTimes{milliseconds(70), milliseconds(120), true}.Pack());
-  CHECK(once.runs_once);
-  CHECK(once.waited == milliseconds(70));
-  CHECK(once.target_latency == milliseconds(120));
-  const SynTimes clipped =
-      SynTimes::Unpack(SynTimes{seconds(100), milliseconds(-5)}.Pack());
-  CHECK(clipped.waited == milliseconds(0xffff));
-  CHECK(clipped.target_latency == milliseconds(0));
-}
-
 // --- Flows during failures ------------------------------------------------
 
 TEST_CASE("Without failures each request is answered and no flow moves") {
--- a/packages/steering_daemon/include/steering_daemon/agent_process.h
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -4,11 +4,11 @@
 #include <memory>
 #include <string>
 
+#include "flow_location/flow_record_policy.h"
 #include "net/packet_socket.h"
 #include "registry/leased_value.h"
 #include "registry/registration.h"
 #include "steering/flow_agent.h"
-#include "steering/flow_record_policy.h"
 #include "steering_daemon/metrics.h"
 #include "steering_daemon/settings_watcher.h"
 #include "steering_daemon/status_server.h"
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -49,6 +49,8 @@
   void ToAgent(const Endpoint& agent, std::string_view packet) override;
   void ToClient(const Endpoint& client, std::string_view packet) override;
   void Query(const Endpoint& agent, const schema::FlowQuery& query) override;
+  void Notify(const Endpoint& agent,
+              const schema::AgentNotice& notice) override;
   void RefreshDirectory() override { follower_.Refresh(); }
   bool OnConfiguration(const std::string& document, StoreRevision revision,
                        bool after_gap) override;
@@ -62,6 +64,8 @@
 
   tl::expected<void, NetError> OpenSockets();
   void OnControl(const Endpoint& from, std::string_view bytes);
+  void SendToAgent(const Endpoint& agent,
+                   const schema::SteeringMessage& message);
   void SendVersion(const Endpoint& control,
                    const schema::ReplicaVersion& version);
   void Flush();
--- a/packages/steering_daemon/include/steering_daemon/steering_tables.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_tables.h
@@ -7,9 +7,9 @@
 
 #include "admin_types.h"
 #include "command/command.h"
+#include "placement/target_directory.h"
 #include "steering/flow_agent.h"
 #include "steering/flow_balancer.h"
-#include "steering/target_directory.h"
 #include "steering_daemon/replica_exchange.h"
 
 namespace sesamesaddle {
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -90,11 +90,12 @@
     ++malformed_control_;
     return;
   }
-  if (!message->__isset.query) return;
   // Balancers are identified by the socket that they send packets from.
-  agent_.OnQuery(deps_.loop.Now(),
-                 PeerEndpoint(settings_, from.ip(), PeerPort::kAgentPackets),
-                 message->query);
+  const Endpoint balancer =
+      PeerEndpoint(settings_, from.ip(), PeerPort::kAgentPackets);
+  const TimePoint now = deps_.loop.Now();
+  if (message->__isset.query) agent_.OnQuery(now, balancer, message->query);
+  if (message->__isset.notice) agent_.OnNotice(now, balancer, message->notice);
 }
 
 void AgentProcess::Run() {
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -160,6 +160,18 @@
                             const schema::FlowQuery& query) {
   schema::SteeringMessage message;
   message.__set_query(query);
+  SendToAgent(agent, message);
+}
+
+void BalancerProcess::Notify(const Endpoint& agent,
+                             const schema::AgentNotice& notice) {
+  schema::SteeringMessage message;
+  message.__set_notice(notice);
+  SendToAgent(agent, message);
+}
+
+void BalancerProcess::SendToAgent(const Endpoint& agent,
+                                  const schema::SteeringMessage& message) {
   control_socket_->Queue(
       PeerEndpoint(settings_, agent.ip(), PeerPort::kControl),
       EncodeCompact(message));
--- a/packages/steering_daemon/tests/steering_commands_test.cc
+++ b/packages/steering_daemon/tests/steering_commands_test.cc
@@ -24,6 +24,8 @@
                 std::string_view /*packet*/) override {}
   void Query(const Endpoint& /*agent*/,
              const schema::FlowQuery& /*query*/) override {}
+  void Notify(const Endpoint& /*agent*/,
+              const schema::AgentNotice& /*notice*/) override {}
   void RefreshDirectory() override {}
   void ToTarget(std::string_view /*packet*/) override {}
   void ToBalancer(const Endpoint& /*balancer*/,
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -44,6 +44,8 @@
     world.ToClient(std::string(packet));
   }
   void Query(const Endpoint& agent, const schema::FlowQuery& query) override;
+  void Notify(const Endpoint& agent,
+              const schema::AgentNotice& notice) override;
   void RefreshDirectory() override;
   /** Copies the store's entries into the directory. */
   void ReadDirectory();
@@ -107,6 +109,18 @@
   });
 }
 
+void SteeringWorld::Balancer::Notify(const Endpoint& agent,
+                                     const schema::AgentNotice& notice) {
+  const size_t to = agent.ip() - AgentAddress(0).ip();
+  ++world.notices;
+  world.Deliver(kHopDelay, [this, to, notice] {
+    Agent* other = world.agents_[to].get();
+    if (other == nullptr) return;
+    other->flows.OnNotice(world.scheduler.Now(), BalancerAddress(index),
+                          notice);
+  });
+}
+
 void SteeringWorld::Balancer::RefreshDirectory() {
   if (reading_directory) return;
   reading_directory = true;
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -196,6 +196,8 @@
   int resets = 0;
   /** Flow queries from balancers to agents. */
   int queries = 0;
+  /** Notices of the operators' settings from balancers to agents. */
+  int notices = 0;
   /** Reports from agents, including lost ones. */
   int reports = 0;
 
--- a/tests/support/test_packet_codec.h
+++ b/tests/support/test_packet_codec.h
@@ -4,7 +4,7 @@
 #include <cstring>
 #include <string>
 
-#include "steering/packet.h"
+#include "flow_model/packet.h"
 
 namespace sesamesaddle {
 
--- a/tools/soak/soak_client.h
+++ b/tools/soak/soak_client.h
@@ -4,8 +4,8 @@
 #include <memory>
 #include <string>
 
+#include "flow_model/packet.h"
 #include "net/packet_socket.h"
-#include "steering/packet.h"
 
 namespace sesamesaddle {
 
--- a/tools/soak/soak_target.h
+++ b/tools/soak/soak_target.h
@@ -7,9 +7,9 @@
 #include <memory>
 #include <string>
 
+#include "flow_model/packet.h"
 #include "net/http_client.h"
 #include "net/packet_socket.h"
-#include "steering/packet.h"
 
 namespace sesamesaddle {
 
