--- a/packages/daemon/src/steering_command.cc
+++ b/packages/daemon/src/steering_command.cc
@@ -43,7 +43,7 @@
   bool balancer = false;
   std::string settings_path = kDefaultSettingsPath;
   std::string placement = "least-wait";
-  std::string split = "overflow";
+  std::string split = "strict";
   std::string log_level = "info";
   uint16_t metrics_port = kDefaultMetricsPort;
   bool check_only = false;
@@ -122,8 +122,8 @@
         PlacementOptions{options.placement == "hash"
                              ? PlacementKind::kHash
                              : PlacementKind::kLeastWait,
-                         options.split == "strict" ? SplitMode::kStrict
-                                                   : SplitMode::kOverflow});
+                         options.split == "overflow" ? SplitMode::kOverflow
+                                                     : SplitMode::kStrict});
   } else {
     process = std::make_unique<AgentProcess>(parts, settings);
   }
--- a/packages/placement/tests/split_overflow_test.cc
+++ b/packages/placement/tests/split_overflow_test.cc
@@ -76,6 +76,14 @@
         strict.world.targets[kSecond]->accepted_flows + 10);
 }
 
+TEST_CASE("By default a canary's share holds in a load peak") {
+  // An operator's canary gets its tenth and no more, whatever the load.
+  SplitFixture f(FlowBalancerOptions{Topology("", {})}.split);
+  f.SendAtOnce(200, milliseconds(1500));
+  CHECK(f.world.targets[kSecond]->accepted_flows > 5);
+  CHECK(f.world.targets[kSecond]->accepted_flows < 40);
+}
+
 TEST_CASE("Without a load peak the weights hold") {
   SplitFixture f(SplitMode::kOverflow);
   for (int i = 0; i < 400; ++i) {
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -83,7 +83,7 @@
   Topology topology;
   /** Maximum lifetime of a flow; older ones may be dropped by any process. */
   Duration flow_lifetime = std::chrono::seconds(60);
-  SplitMode split = SplitMode::kOverflow;
+  SplitMode split = SplitMode::kStrict;
 };
 
 /**
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -21,7 +21,7 @@
 /** How a balancer places new flows. */
 struct PlacementOptions {
   PlacementKind kind = PlacementKind::kLeastWait;
-  SplitMode split = SplitMode::kOverflow;
+  SplitMode split = SplitMode::kStrict;
 };
 
 /**
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -181,7 +181,7 @@
   SeededRandom random;
   double loss = 0;
   /** Of balancers that start from now on. */
-  SplitMode split = SplitMode::kOverflow;
+  SplitMode split = SplitMode::kStrict;
   /** While set, all agents' reports are lost. */
   bool lose_reports = false;
   /** Balancers whose watch of the store does not deliver changes. */
