Order of waiting flows by deadline

With the contract pressure in the settings flows that can meet their target latency go first, then by priority; full queues give up their least urgent SYN; a flow whose attempt is about to end is refused at once. Log lines that are not admitted no longer construct a stream.

--- a/packages/admission/include/admission/admission_control.h
+++ b/packages/admission/include/admission/admission_control.h
@@ -37,23 +37,12 @@
    */
   static AdmissionDecision Decide(const Route& route, double work,
                                   Duration waited);
-};
-
-/** Sort key of waiting flows: the lowest is served first. */
-struct Urgency {
-  /** The client has probably given up. */
-  bool abandoned = false;
-  int priority = 0;
-  /** The flow has waited longer than its route's target latency. */
-  bool late = false;
-  TimePoint arrived{};
-
-  friend bool operator<(const Urgency& a, const Urgency& b) {
-    if (a.abandoned != b.abandoned) return !a.abandoned;
-    if (a.priority != b.priority) return a.priority < b.priority;
-    if (a.late != b.late) return !a.late;
-    return a.arrived < b.arrived;
-  }
+  /**
+   * Whether the client is about to give up a flow that was not opened yet, so
+   * that a target would only work for a client that is gone.
+   * @param waited  time since the client sent its first SYN
+   */
+  static bool AttemptIsOver(const Route& route, Duration waited);
 };
 
 }  // namespace sesamesaddle
--- a/packages/admission/include/admission/syn_patience.h
+++ b/packages/admission/include/admission/syn_patience.h
@@ -21,6 +21,21 @@
   /** Time for a copy to arrive, and for the scheduling of both ends. */
   static constexpr Duration kSlack = std::chrono::milliseconds(50);
 
+  /**
+   * A client gives an attempt up after this time without a SYN-ACK, and opens
+   * another flow if its own deadline allows.
+   */
+  static constexpr Duration kAttemptTimeout = std::chrono::milliseconds(1400);
+
+  /**
+   * Returns the least time for which the client of a SYN has waited. After a
+   * restart of all balancers a copy may be the first SYN that any of them sees.
+   * @param copies  number of copies that the client had sent by this SYN
+   */
+  static Duration MinWait(uint32_t copies) {
+    if (copies == 0) return Duration::zero();
+    return copies == 1 ? kFirstCopy : kSecondCopy;
+  }
   /**
    * Whether a copy is overdue. It may also be lost, so the SYN is not dropped.
    * @param waited  time since the flow's first SYN arrived
--- a/packages/admission/include/admission/syn_queue.h
+++ b/packages/admission/include/admission/syn_queue.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "admission/admission_control.h"
+#include "admission/urgency.h"
 #include "core/endpoint.h"
 #include "core/time.h"
 
@@ -32,10 +32,8 @@
 
 /**
  * Queue of new flows for a target whose slots are all in use. A target serves
- * accepted work in order of arrival; this queue orders by priority, then flows
- * that can still meet their target latency, oldest first, and after all others
- * those whose clients have probably given up. Absorbs bursts, such as the
- * reconnection of all clients after an outage.
+ * accepted work in order of arrival; this queue orders by UrgencyOrder. Absorbs
+ * bursts, such as the reconnection of all clients after an outage.
  */
 class SynQueue {
  public:
@@ -50,11 +48,22 @@
    */
   static constexpr Duration kMaxWait = std::chrono::milliseconds(100);
 
+  explicit SynQueue(QueueOrder order) : order_(order) {}
+
   /** Whether a target with that many requests may get one more. */
   static bool HasRoom(int work, int slots);
 
-  /** Returns false if the queue is full. */
-  bool Push(QueuedSyn syn, int slots);
+  /**
+   * Sets the time from the delivery of a SYN to the response. A SYN is late if
+   * this would end after its target latency; used by QueueOrder::kDeadline.
+   */
+  void SetServiceTime(Duration service_time) { service_time_ = service_time; }
+  /**
+   * Adds the SYN. If the queue is full, the least urgent SYN leaves, which by
+   * QueueOrder::kPriority is always the new one.
+   * @return the SYN that left, if any
+   */
+  std::optional<QueuedSyn> Push(TimePoint now, QueuedSyn syn, int slots);
   /** Removes and returns the most urgent SYN, if any. */
   std::optional<QueuedSyn> Pop(TimePoint now);
   /** Removes and returns SYNs that have waited longer than kMaxWait. */
@@ -71,8 +80,12 @@
   size_t size() const { return syns_.size(); }
 
  private:
-  static Urgency UrgencyOf(const QueuedSyn& syn, TimePoint now);
+  static Duration Waited(const QueuedSyn& syn, TimePoint now);
+  Urgency UrgencyOf(const QueuedSyn& syn, TimePoint now) const;
+  bool Before(const QueuedSyn& a, const QueuedSyn& b, TimePoint now) const;
 
+  QueueOrder order_;
+  Duration service_time_{};
   std::vector<QueuedSyn> syns_;
 };
 
--- a/packages/admission/src/syn_queue.cc
+++ b/packages/admission/src/syn_queue.cc
@@ -11,20 +11,29 @@
   return work < slots * kMaxAdmittedPerSlot;
 }
 
-bool SynQueue::Push(QueuedSyn syn, int slots) {
-  if (syns_.size() >= static_cast<size_t>(slots) * kMaxQueuedPerSlot) {
-    return false;
+std::optional<QueuedSyn> SynQueue::Push(TimePoint now, QueuedSyn syn,
+                                        int slots) {
+  if (syns_.size() < static_cast<size_t>(slots) * kMaxQueuedPerSlot) {
+    syns_.push_back(std::move(syn));
+    return std::nullopt;
   }
-  syns_.push_back(std::move(syn));
-  return true;
+  if (order_ == QueueOrder::kDeadline) {
+    const auto last =
+        std::max_element(syns_.begin(), syns_.end(),
+                         [this, now](const QueuedSyn& a, const QueuedSyn& b) {
+                           return Before(a, b, now);
+                         });
+    if (last != syns_.end() && Before(syn, *last, now)) std::swap(*last, syn);
+  }
+  return syn;
 }
 
 std::optional<QueuedSyn> SynQueue::Pop(TimePoint now) {
   if (syns_.empty()) return std::nullopt;
   const auto first =
       std::min_element(syns_.begin(), syns_.end(),
-                       [now](const QueuedSyn& a, const QueuedSyn& b) {
-                         return UrgencyOf(a, now) < UrgencyOf(b, now);
+                       [this, now](const QueuedSyn& a, const QueuedSyn& b) {
+                         return Before(a, b, now);
                        });
   QueuedSyn syn = std::move(*first);
   syns_.erase(first);
@@ -52,10 +61,21 @@
   return true;
 }
 
-Urgency SynQueue::UrgencyOf(const QueuedSyn& syn, TimePoint now) {
-  const Duration waited = syn.waited_before + (now - syn.arrived);
+Duration SynQueue::Waited(const QueuedSyn& syn, TimePoint now) {
+  return syn.waited_before + (now - syn.arrived);
+}
+
+Urgency SynQueue::UrgencyOf(const QueuedSyn& syn, TimePoint now) const {
+  const Duration waited = Waited(syn, now);
+  const Duration needed =
+      order_ == QueueOrder::kDeadline ? service_time_ : Duration::zero();
   return {SynPatience::ProbablyAbandoned(waited, syn.copies), syn.priority,
-          waited > syn.target_latency, syn.arrived - syn.waited_before};
+          waited + needed > syn.target_latency, now - waited};
+}
+
+bool SynQueue::Before(const QueuedSyn& a, const QueuedSyn& b,
+                      TimePoint now) const {
+  return UrgencyOrder(order_)(UrgencyOf(a, now), UrgencyOf(b, now));
 }
 
 }  // namespace sesamesaddle
--- a/packages/core/include/core/event_log.h
+++ b/packages/core/include/core/event_log.h
@@ -2,6 +2,7 @@
 #define SESAMESADDLE_CORE_EVENT_LOG_H_
 
 #include <cstdint>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -58,37 +59,39 @@
  public:
   LogLine(EventLog& log, EventKind kind, std::string_view component,
           std::string_view event)
-      : log_(log), kind_(kind), admitted_(log.Admit(kind)) {
-    if (admitted_) text_ << component << ": event=" << event;
+      : log_(log), kind_(kind) {
+    if (!log.Admit(kind)) return;
+    text_.emplace();
+    *text_ << component << ": event=" << event;
   }
   ~LogLine() {
-    if (admitted_) log_.Write(kind_, text_.str());
+    if (text_) log_.Write(kind_, text_->str());
   }
   LogLine(const LogLine&) = delete;
   LogLine& operator=(const LogLine&) = delete;
 
   template <typename T>
   LogLine& Add(std::string_view key, const T& value) {
-    if (admitted_) text_ << ' ' << key << '=' << value;
+    if (text_) *text_ << ' ' << key << '=' << value;
     return *this;
   }
   /** Quotes a value that is empty or holds a space, '=', '"' or newline. */
   LogLine& Add(std::string_view key, std::string_view value) {
-    if (!admitted_) return *this;
+    if (!text_) return *this;
     const bool needs_no_quotes =
         !value.empty() &&
         value.find_first_of(" \"=\n") == std::string_view::npos;
-    text_ << ' ' << key << '=';
+    *text_ << ' ' << key << '=';
     if (needs_no_quotes) {
-      text_ << value;
+      *text_ << value;
       return *this;
     }
-    text_ << '"';
+    *text_ << '"';
     for (const char c : value) {
       const bool ends_value = c == '"' || c == '\n';
-      text_ << (ends_value ? '\'' : c);
+      *text_ << (ends_value ? '\'' : c);
     }
-    text_ << '"';
+    *text_ << '"';
     return *this;
   }
   LogLine& Add(std::string_view key, const std::string& value) {
@@ -100,21 +103,21 @@
     return Add(key, text);
   }
   LogLine& Add(std::string_view key, const Endpoint& value) {
-    if (admitted_) text_ << ' ' << key << '=' << value.ToString();
+    if (text_) *text_ << ' ' << key << '=' << value.ToString();
     return *this;
   }
   /** Writes the flow in the same format in every process. */
   LogLine& Add(std::string_view key, const Flow& flow) {
-    if (admitted_) {
-      text_ << ' ' << key << '=' << flow.caller.ToString() << '>'
-            << flow.service.ToString();
+    if (text_) {
+      *text_ << ' ' << key << '=' << flow.caller.ToString() << '>'
+             << flow.service.ToString();
     }
     return *this;
   }
   LogLine& Add(std::string_view key, Duration duration) {
-    if (admitted_) {
-      text_ << ' ' << key << "_ms="
-            << std::chrono::duration<double, std::milli>(duration).count();
+    if (text_) {
+      *text_ << ' ' << key << "_ms="
+             << std::chrono::duration<double, std::milli>(duration).count();
     }
     return *this;
   }
@@ -122,8 +125,8 @@
  private:
   EventLog& log_;
   EventKind kind_;
-  bool admitted_;
-  std::ostringstream text_;
+  /** Empty if the line is not admitted; a stream is costly to construct. */
+  std::optional<std::ostringstream> text_;
 };
 
 }  // namespace sesamesaddle
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -45,6 +45,7 @@
   std::string service;
   /** Maximum lifetime of a flow; older ones may be dropped by any process. */
   Duration flow_lifetime = std::chrono::seconds(60);
+  QueueOrder queue_order = QueueOrder::kPriority;
 };
 
 /** Counts since the start of the process. */
@@ -57,6 +58,8 @@
   int64_t refused = 0;
   int64_t queued = 0;
   int64_t yielded = 0;
+  /** Queued SYNs that left a full queue for a more urgent one. */
+  int64_t displaced = 0;
   int64_t returned_by_target = 0;
   int64_t not_held = 0;
   int64_t wrong_service = 0;
@@ -254,6 +257,10 @@
              const PacketHeader& header, char* packet, size_t size);
   void OpenFlow(TimePoint now, const Endpoint& balancer, const Flow& flow,
                 uint32_t sequence, bool runs_once, char* packet, size_t size);
+  /** Queues the SYN; returns or refuses the one that has no place. */
+  void QueueOrRefuse(TimePoint now, QueuedSyn syn, int slots);
+  /** Returns the time from the delivery of a SYN to the response. */
+  Duration ExpectedServiceTime() const;
   /** Delivers queued SYNs while the target has room. */
   void DispatchQueue(TimePoint now);
   void ExpireQueue(TimePoint now);
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "admission/admission_control.h"
+#include "admission/urgency.h"
 #include "core/endpoint.h"
 #include "core/event_log.h"
 #include "core/time.h"
@@ -71,6 +72,8 @@
   int64_t resets_no_route = 0;
   int64_t resets_no_target = 0;
   int64_t resets_overload = 0;
+  /** New flows refused because their clients' attempts were about to end. */
+  int64_t resets_attempt_over = 0;
   int64_t waited_for_room = 0;
   int64_t resets_nobody_holds = 0;
   int64_t resets_target_gone = 0;
@@ -84,6 +87,7 @@
   /** Maximum lifetime of a flow; older ones may be dropped by any process. */
   Duration flow_lifetime = std::chrono::seconds(60);
   SplitMode split = SplitMode::kStrict;
+  QueueOrder queue_order = QueueOrder::kPriority;
 };
 
 /**
@@ -192,6 +196,8 @@
     uint32_t copies = 0;
     std::vector<Endpoint> refused;
     TimePoint arrived{};
+    /** Time at which the client sent its first SYN, as far as known. */
+    TimePoint sent{};
     TimePoint retry_at{};
     bool waiting_for_room = false;
   };
@@ -223,6 +229,13 @@
                                   const PlacementRequest& request,
                                   const std::string& picked,
                                   std::optional<double> work);
+  /**
+   * Refuses a flow whose client is about to give the attempt up, unless an
+   * agent may still deliver its SYN.
+   * @return whether it was refused; `pending` is invalid then
+   */
+  bool RefuseIfOver(TimePoint now, const Flow& flow, const Route& route,
+                    const PendingSyn& pending);
   /** Returns false if the flow was refused; `pending` is invalid then. */
   bool Admit(TimePoint now, const Flow& flow, const Route& route,
              const AgentView& chosen, PendingSyn& pending);
@@ -284,6 +297,7 @@
   EventLog& log_;
   FlowLocator locator_;
   SplitMode split_;
+  QueueOrder queue_order_;
   RouteTable routes_;
   RouteHistory history_;
   bool store_current_ = false;
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -42,6 +42,7 @@
       output_(output),
       log_(log),
       response_times_(response_times),
+      queue_(options_.queue_order),
       started_(now) {}
 
 const std::string& FlowAgent::service() const {
@@ -138,13 +139,7 @@
                 balancer,       header.tag.priority,       now,
                 times.waited,   times.target_latency,      header.acknowledged,
                 times.runs_once};
-  if (!queue_.Push(std::move(syn), slots)) {
-    RefuseSyn(now, balancer, flow, "queue-full", packet, size);
-    return;
-  }
-  ++counters_.queued;
-  // The balancer then doesn't try another target meanwhile.
-  RecordContact(now, balancer).accepted.push_back(flow);
+  QueueOrRefuse(now, std::move(syn), slots);
 }
 
 void FlowAgent::OpenFlow(TimePoint now, const Endpoint& balancer,
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -23,7 +23,33 @@
 
 }  // namespace
 
+void FlowAgent::QueueOrRefuse(TimePoint now, QueuedSyn syn, int slots) {
+  const Flow flow = syn.flow;
+  const Endpoint balancer = syn.balancer;
+  auto displaced = queue_.Push(now, std::move(syn), slots);
+  if (displaced && displaced->flow == flow) {
+    RefuseSyn(now, balancer, flow, "queue-full", displaced->packet.data(),
+              displaced->packet.size());
+    return;
+  }
+  ++counters_.queued;
+  // The balancer then doesn't try another target meanwhile.
+  RecordContact(now, balancer).accepted.push_back(flow);
+  if (!displaced) return;
+  ++counters_.displaced;
+  std::vector<QueuedSyn> returned;
+  returned.push_back(std::move(*displaced));
+  ReturnQueued(now, std::move(returned), HopKind::kYielded);
+}
+
+Duration FlowAgent::ExpectedServiceTime() const {
+  // Half of the mean covers most of the spread of response times.
+  return response_time_ + response_time_ / 2 + handshake_time_.Timeout();
+}
+
 void FlowAgent::DispatchQueue(TimePoint now) {
+  if (queue_.empty()) return;
+  queue_.SetServiceTime(ExpectedServiceTime());
   const int slots = target_monitor_.announcement().slots;
   while (!queue_.empty() &&
          SynQueue::HasRoom(in_flight_ + expected_requests_, slots)) {
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -16,6 +16,9 @@
 constexpr Duration kRefusalBackoff = std::chrono::milliseconds(50);
 // Longer than a client or target retransmits its last packet.
 constexpr Duration kEndedFlowRetention = std::chrono::seconds(4);
+// A late SYN that a full target returned is placed again after the agents'
+// next reports.
+constexpr Duration kLateRetryPeriod = std::chrono::milliseconds(50);
 // Time during which a SYN that was sent to targets is placed again.
 constexpr Duration kMaxPlacementTime = std::chrono::milliseconds(400);
 
@@ -32,6 +35,7 @@
       log_(log),
       locator_(std::move(options.topology), directory, *this),
       split_(options.split),
+      queue_order_(options.queue_order),
       history_(options.flow_lifetime) {}
 
 void FlowBalancer::OnClientPacket(TimePoint now, char* packet, size_t size) {
@@ -72,7 +76,13 @@
     flows_.erase(known);
   }
   PendingSyn& pending = pending_syns_[flow];
-  if (pending.packet.empty()) pending.arrived = now;
+  if (pending.packet.empty()) {
+    pending.arrived = now;
+    // Without deadlines a wait counts from the arrival at this process.
+    pending.sent = queue_order_ == QueueOrder::kDeadline
+                       ? now - SynPatience::MinWait(header.acknowledged)
+                       : now;
+  }
   pending.packet = std::string(packet);
   pending.sequence = header.sequence;
   pending.copies = header.acknowledged;
@@ -82,6 +92,7 @@
 bool FlowBalancer::Place(TimePoint now, const Flow& flow, const Route& route,
                          PendingSyn& pending) {
   pending.retry_at = now + kAcceptTimeout;
+  if (RefuseIfOver(now, flow, route, pending)) return false;
   PlacementRequest request{flow, pending.refused,
                            route.kind == RequestKind::kRunsOnce};
   const auto known = flows_.find(flow);
@@ -137,6 +148,25 @@
   return nullptr;
 }
 
+bool FlowBalancer::RefuseIfOver(TimePoint now, const Flow& flow,
+                                const Route& route, const PendingSyn& pending) {
+  if (queue_order_ != QueueOrder::kDeadline || flows_.count(flow) != 0) {
+    return false;
+  }
+  const Duration waited = now - pending.sent;
+  if (!AdmissionControl::AttemptIsOver(route, waited)) return false;
+  ++counters_.resets_attempt_over;
+  LogLine(log_, EventKind::kFlowRefused, kLogComponent, "flow-refused")
+      .Add("flow", flow)
+      .Add("route", route.name)
+      .Add("reason", "attempt-over")
+      .Add("waited", waited)
+      .Add("copies", pending.copies);
+  Reset(flow, 0, "attempt-over");
+  pending_syns_.erase(flow);
+  return true;
+}
+
 bool FlowBalancer::Admit(TimePoint now, const Flow& flow, const Route& route,
                          const AgentView& chosen, PendingSyn& pending) {
   const double work = WorkPerSlot(now, chosen);
@@ -196,7 +226,7 @@
   const int priority =
       std::clamp<int>(route.priority, 0, HopTag::kLowestPriority);
   ForwardSyn(now, chosen, pending.packet, static_cast<uint8_t>(priority),
-             {now - pending.arrived, route.target_latency, entry.runs_once});
+             {now - pending.sent, route.target_latency, entry.runs_once});
 }
 
 void FlowBalancer::OnData(TimePoint now, const Flow& flow,
@@ -352,6 +382,7 @@
   if (pending.packet.empty()) {
     // The agent had queued the SYN for a while.
     pending.arrived = now - SynTimes::Unpack(header.echo).waited;
+    pending.sent = pending.arrived;
     pending.packet.assign(packet);
     pending.sequence = header.sequence;
     pending.copies = header.acknowledged;
@@ -365,6 +396,12 @@
                 tried.end());
     if (tried.empty()) flows_.erase(it);
   }
+  if (queue_order_ == QueueOrder::kDeadline &&
+      now - pending.sent > route.target_latency) {
+    // In an overload the other targets are full as well.
+    pending.retry_at = now + kLateRetryPeriod;
+    return;
+  }
   Place(now, flow, route, pending);
 }
 
@@ -415,17 +452,20 @@
   for (const auto& [flow, pending] : pending_syns_) {
     if (now < pending.retry_at) continue;
     Urgency urgency;
-    urgency.arrived = pending.arrived;
+    urgency.sent = pending.sent;
     urgency.abandoned =
-        SynPatience::ProbablyAbandoned(now - pending.arrived, pending.copies);
+        SynPatience::ProbablyAbandoned(now - pending.sent, pending.copies);
     if (const Route* route = routes_.Find(flow.service)) {
       urgency.priority = route->priority;
-      urgency.late = now - pending.arrived > route->target_latency;
+      urgency.late = now - pending.sent > route->target_latency;
     }
     due.emplace_back(urgency, flow);
   }
-  std::sort(due.begin(), due.end(),
-            [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::sort(
+      due.begin(), due.end(),
+      [before = UrgencyOrder(queue_order_)](const auto& a, const auto& b) {
+        return before(a.first, b.first);
+      });
   std::vector<Flow> flows;
   for (const auto& [urgency, flow] : due) flows.push_back(flow);
   return flows;
--- a/packages/steering_daemon/include/steering_daemon/steering_settings.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_settings.h
@@ -6,6 +6,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "admission/urgency.h"
 #include "core/endpoint.h"
 #include "core/time.h"
 
@@ -46,6 +47,8 @@
   double store_reads_per_second = 2000;
   /** Writes per second that the store accepts from the whole system. */
   double store_writes_per_second = 400;
+  /** What goes first while more flows arrive than the targets can take. */
+  QueueOrder queue_order = QueueOrder::kPriority;
   /** Minimum lease that the store grants. */
   Duration min_lease = std::chrono::seconds(1);
 };
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -23,6 +23,7 @@
   options.self = settings.packet_address;
   options.service = settings.service;
   options.flow_lifetime = settings.flow_lifetime;
+  options.queue_order = settings.queue_order;
   return options;
 }
 
@@ -318,6 +319,7 @@
       {"syns_refused_total", c.refused},
       {"syns_queued_total", c.queued},
       {"syns_yielded_total", c.yielded},
+      {"syns_displaced_total", c.displaced},
       {"packets_returned_by_target_total", c.returned_by_target},
       {"packets_not_held_total", c.not_held},
       {"packets_of_other_service_total", c.wrong_service},
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -32,7 +32,8 @@
       : world(world),
         index(index),
         placement(MakePlacement(world.placement_, Topology("zone"), directory)),
-        flows({Topology("zone"), std::chrono::seconds(60), world.split},
+        flows({Topology("zone"), std::chrono::seconds(60), world.split,
+               world.queue_order},
               world.codec_, directory, *placement, *this, world.log_) {
     flows.SetStoreCurrent(true);
     flows.Apply(world.scheduler.Now(), world.routes);
@@ -64,7 +65,7 @@
         index(index),
         flows(world.scheduler.Now(),
               {AgentAddress(index), world.ServiceOf(index),
-               std::chrono::seconds(60)},
+               std::chrono::seconds(60), world.queue_order},
               world.codec_, *this, world.log_, observer) {}
 
   void ToTarget(std::string_view packet) override {
@@ -304,10 +305,11 @@
   }
 }
 
-VirtualFlowClient& SteeringWorld::AddClient(bool keeps_flow) {
+VirtualFlowClient& SteeringWorld::AddClient(bool keeps_flow,
+                                            const Endpoint& route) {
   const auto address = static_cast<uint32_t>(0x64400000 + clients.size());
-  clients.push_back(std::make_unique<VirtualFlowClient>(
-      *this, address, RouteAddress(), keeps_flow));
+  clients.push_back(
+      std::make_unique<VirtualFlowClient>(*this, address, route, keeps_flow));
   return *clients.back();
 }
 
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -162,7 +162,8 @@
    * stale.
    */
   void List(size_t i, bool draining = false);
-  VirtualFlowClient& AddClient(bool keeps_flow);
+  VirtualFlowClient& AddClient(bool keeps_flow,
+                               const Endpoint& route = RouteAddress());
 
   void FromClient(std::string packet);
   void FromTarget(size_t i, std::string packet);
@@ -182,6 +183,8 @@
   double loss = 0;
   /** Of balancers that start from now on. */
   SplitMode split = SplitMode::kStrict;
+  /** Of balancers and agents that start from now on. */
+  QueueOrder queue_order = QueueOrder::kPriority;
   /** While set, all agents' reports are lost. */
   bool lose_reports = false;
   /** Balancers whose watch of the store does not deliver changes. */
