--- a/packages/steering_daemon/include/steering_daemon/steering_settings.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_settings.h
@@ -2,6 +2,7 @@
 #define SESAMESADDLE_STEERING_DAEMON_STEERING_SETTINGS_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -11,6 +12,13 @@
 
 namespace sesamesaddle {
 
+/** Resources of an instance; a value that is not set is unknown. */
+struct InstanceCapacity {
+  /** Share of the processor; 0.5 is half of a core. */
+  std::optional<double> cpu_cores;
+  std::optional<double> link_mbps;
+};
+
 /** Settings of a balancer or an agent, read from its settings file. */
 struct SteeringSettings {
   std::string name;
@@ -48,6 +56,8 @@
   double store_writes_per_second = 400;
   /** Minimum lease that the store grants. */
   Duration min_lease = std::chrono::seconds(1);
+  /** Resources of this instance. */
+  InstanceCapacity capacity;
 };
 
 /** Source of the settings; read again whenever they may have changed. */
