Balancer records carry the capacity of their instance

Cause: a balancer that starts cannot know which of its peers are larger.

Change: BalancerRecord gets the optional fields cpu_cores and link_mbps; the generated code follows. Processes of the earlier version skip them, and its records read as unknown capacity.

--- a/packages/schema/gen/steering_types.cpp
+++ b/packages/schema/gen/steering_types.cpp
@@ -367,6 +367,16 @@
 void BalancerRecord::__set_replica(const  ::sesamesaddle::schema::PackedEndpoint val) {
   this->replica = val;
 }
+
+void BalancerRecord::__set_cpu_cores(const double val) {
+  this->cpu_cores = val;
+__isset.cpu_cores = true;
+}
+
+void BalancerRecord::__set_link_mbps(const double val) {
+  this->link_mbps = val;
+__isset.link_mbps = true;
+}
 std::ostream& operator<<(std::ostream& out, const BalancerRecord& obj)
 {
   obj.printTo(out);
@@ -431,6 +441,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->cpu_cores);
+          this->__isset.cpu_cores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->link_mbps);
+          this->__isset.link_mbps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -472,6 +498,16 @@
   xfer += oprot->writeI64(this->replica);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.cpu_cores) {
+    xfer += oprot->writeFieldBegin("cpu_cores", ::apache::thrift::protocol::T_DOUBLE, 5);
+    xfer += oprot->writeDouble(this->cpu_cores);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.link_mbps) {
+    xfer += oprot->writeFieldBegin("link_mbps", ::apache::thrift::protocol::T_DOUBLE, 6);
+    xfer += oprot->writeDouble(this->link_mbps);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -483,6 +519,9 @@
   swap(a.zone, b.zone);
   swap(a.control, b.control);
   swap(a.replica, b.replica);
+  swap(a.cpu_cores, b.cpu_cores);
+  swap(a.link_mbps, b.link_mbps);
+  swap(a.__isset, b.__isset);
 }
 
 BalancerRecord::BalancerRecord(const BalancerRecord& other5) {
@@ -490,18 +529,27 @@
   zone = other5.zone;
   control = other5.control;
   replica = other5.replica;
+  cpu_cores = other5.cpu_cores;
+  link_mbps = other5.link_mbps;
+  __isset = other5.__isset;
 }
 BalancerRecord::BalancerRecord(BalancerRecord&& other6) noexcept {
   name = std::move(other6.name);
   zone = std::move(other6.zone);
   control = other6.control;
   replica = other6.replica;
+  cpu_cores = other6.cpu_cores;
+  link_mbps = other6.link_mbps;
+  __isset = other6.__isset;
 }
 BalancerRecord& BalancerRecord::operator=(const BalancerRecord& other7) {
   name = other7.name;
   zone = other7.zone;
   control = other7.control;
   replica = other7.replica;
+  cpu_cores = other7.cpu_cores;
+  link_mbps = other7.link_mbps;
+  __isset = other7.__isset;
   return *this;
 }
 BalancerRecord& BalancerRecord::operator=(BalancerRecord&& other8) noexcept {
@@ -509,6 +557,9 @@
   zone = std::move(other8.zone);
   control = other8.control;
   replica = other8.replica;
+  cpu_cores = other8.cpu_cores;
+  link_mbps = other8.link_mbps;
+  __isset = other8.__isset;
   return *this;
 }
 void BalancerRecord::printTo(std::ostream& out) const {
@@ -518,6 +569,8 @@
   out << ", " << "zone=" << to_string(zone);
   out << ", " << "control=" << to_string(control);
   out << ", " << "replica=" << to_string(replica);
+  out << ", " << "cpu_cores="; (__isset.cpu_cores ? (out << to_string(cpu_cores)) : (out << "<null>"));
+  out << ", " << "link_mbps="; (__isset.link_mbps ? (out << to_string(link_mbps)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/schema/gen/steering_types.h
+++ b/packages/schema/gen/steering_types.h
@@ -158,6 +158,11 @@
 
 std::ostream& operator<<(std::ostream& out, const TargetRecord& obj);
 
+typedef struct _BalancerRecord__isset {
+  _BalancerRecord__isset() : cpu_cores(false), link_mbps(false) {}
+  bool cpu_cores :1;
+  bool link_mbps :1;
+} _BalancerRecord__isset;
 
 class BalancerRecord : public virtual ::apache::thrift::TBase {
  public:
@@ -170,7 +175,9 @@
                  : name(),
                    zone(),
                    control(0),
-                   replica(0) {
+                   replica(0),
+                   cpu_cores(0),
+                   link_mbps(0) {
   }
 
   virtual ~BalancerRecord() noexcept;
@@ -178,6 +185,10 @@
   std::string zone;
    ::sesamesaddle::schema::PackedEndpoint control;
    ::sesamesaddle::schema::PackedEndpoint replica;
+  double cpu_cores;
+  double link_mbps;
+
+  _BalancerRecord__isset __isset;
 
   void __set_name(const std::string& val);
 
@@ -187,6 +198,10 @@
 
   void __set_replica(const  ::sesamesaddle::schema::PackedEndpoint val);
 
+  void __set_cpu_cores(const double val);
+
+  void __set_link_mbps(const double val);
+
   bool operator == (const BalancerRecord & rhs) const
   {
     if (!(name == rhs.name))
@@ -197,6 +212,14 @@
       return false;
     if (!(replica == rhs.replica))
       return false;
+    if (__isset.cpu_cores != rhs.__isset.cpu_cores)
+      return false;
+    else if (__isset.cpu_cores && !(cpu_cores == rhs.cpu_cores))
+      return false;
+    if (__isset.link_mbps != rhs.__isset.link_mbps)
+      return false;
+    else if (__isset.link_mbps && !(link_mbps == rhs.link_mbps))
+      return false;
     return true;
   }
   bool operator != (const BalancerRecord &rhs) const {
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -34,6 +34,9 @@
   3: required messages.PackedEndpoint control
   // HTTP address that serves its replica.
   4: required messages.PackedEndpoint replica
+  // Resources of its instance; absent if its settings name no limits.
+  5: optional double cpu_cores
+  6: optional double link_mbps
 }
 
 // Whether an availability zone is evacuated: its targets get no new flows.
--- a/packages/schema/tests/schema_test.cc
+++ b/packages/schema/tests/schema_test.cc
@@ -6,6 +6,7 @@
 #include "messages_types.h"
 #include "schema/codec.h"
 #include "schema/readable_json.h"
+#include "steering_types.h"
 
 namespace sesamesaddle {
 namespace {
@@ -47,6 +48,24 @@
   });
 }
 
+TEST_CASE("A balancer's record of an earlier version has no capacity") {
+  // Bytes written by the version that had no capacity in the record. A required
+  // field would make balancers ignore peers of that version.
+  const char kEarlierHex[] =
+      "1806656467652d3118086d6f6e747265616c16d0f8e080a0800516d2f8e080a0800500";
+  std::string bytes;
+  for (const char* hex = kEarlierHex; *hex != '\0'; hex += 2) {
+    bytes += static_cast<char>(std::stoi(std::string(hex, 2), nullptr, 16));
+  }
+  const auto record = DecodeCompact<schema::BalancerRecord>(bytes);
+  REQUIRE(record.has_value());
+  CHECK(record->name == "edge-1");
+  CHECK(record->zone == "montreal");
+  CHECK_FALSE(record->__isset.cpu_cores);
+  CHECK_FALSE(record->__isset.link_mbps);
+  CHECK(EncodeCompact(*record) == bytes);
+}
+
 TEST_CASE("Trailing bytes after a message are an error") {
   const std::string bytes = EncodeCompact(MakeMessage("x")) + "y";
   CHECK(DecodeCompact<schema::PeerMessage>(bytes).error() ==
