Small balancers wait for their zone after a power loss

Cause: after a loss of power all balancers start within a second, and the routers send the traffic of all zones to the first that are ready. A balancer with 0.095 cores and 10 Mbit/s was among them and needed 5 s to recover.

Change: StartupReadiness holds a balancer with less than half of the largest listed capacity until balancers with half of its zone's capacity run, at most 1,000 ms after the start. Capacity is the smaller of the two ratios, cores and bandwidth, to the largest listed values. A peer runs if it has written its entry or sent a version since the first read. If the first read has no entry of this balancer itself, its earlier process was stopped as planned (or the balancer is new), and all listed peers count as running: a rolling restart does not wait. Log lines startup-wait-begins and startup-wait-ends, metric startup_wait_ms. No further store calls or messages.

--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -11,6 +11,7 @@
 #include "steering_daemon/metrics.h"
 #include "steering_daemon/replica_exchange.h"
 #include "steering_daemon/settings_watcher.h"
+#include "steering_daemon/startup_readiness.h"
 #include "steering_daemon/status_server.h"
 #include "steering_daemon/steering_commands.h"
 #include "steering_daemon/steering_process.h"
@@ -63,6 +64,11 @@
   void OnSynchronized(TimePoint as_of) override;
 
   tl::expected<void, NetError> OpenSockets();
+  schema::BalancerRecord MakeRecord() const;
+  /** Handles the entry of a balancer, this one included. */
+  void OnBalancerEntry(const std::string& key,
+                       const schema::BalancerRecord& record,
+                       StoreRevision revision);
   void OnControl(const Endpoint& from, std::string_view bytes);
   void SendToAgent(const Endpoint& agent,
                    const schema::SteeringMessage& message);
@@ -92,6 +98,7 @@
   ReplicaExchange exchange_;
   Registration registration_;
   ZoneRotation rotation_;
+  StartupReadiness startup_;
   std::unique_ptr<PacketSocket> client_socket_;
   std::unique_ptr<PacketSocket> agent_socket_;
   std::unique_ptr<PacketSocket> control_socket_;
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -31,6 +31,13 @@
   return {decoder.store_key(), DirectoryKeys::kPrefix};
 }
 
+InstanceCapacity CapacityOf(const schema::BalancerRecord& record) {
+  InstanceCapacity capacity;
+  if (record.__isset.cpu_cores) capacity.cpu_cores = record.cpu_cores;
+  if (record.__isset.link_mbps) capacity.link_mbps = record.link_mbps;
+  return capacity;
+}
+
 Topology MakeTopology(const SteeringSettings& settings) {
   return {settings.zone, settings.regions};
 }
@@ -60,7 +67,8 @@
                     MakeRegistrationOptions(settings_),
                     DirectoryKeys::OfBalancer(PeerEndpoint(
                         settings_, settings_.ip, PeerPort::kControl))),
-      rotation_(settings_.zone) {}
+      rotation_(settings_.zone),
+      startup_(deps.log, {settings_.zone, settings_.capacity}) {}
 
 tl::expected<void, NetError> BalancerProcess::Open() {
   auto opened = OpenSockets();
@@ -121,14 +129,8 @@
       .Add("packets", settings_.packet_address)
       .Add("store", settings_.store)
       .Add("seeds", settings_.seeds.size());
-  schema::BalancerRecord record;
-  record.name = settings_.name;
-  record.zone = settings_.zone;
-  record.control =
-      PeerEndpoint(settings_, settings_.ip, PeerPort::kControl).Pack();
-  record.replica =
-      PeerEndpoint(settings_, settings_.ip, PeerPort::kReplica).Pack();
-  registration_.Publish(EncodeCompact(record));
+  startup_.Start(deps_.loop.Now());
+  registration_.Publish(EncodeCompact(MakeRecord()));
   follower_.Start();
   housekeeping_timer_ =
       deps_.loop.Every(kHousekeepingPeriod, [this] { RunHousekeeping(); });
@@ -142,8 +144,23 @@
       .Add("flows", balancer_.flow_count());
 }
 
+schema::BalancerRecord BalancerProcess::MakeRecord() const {
+  schema::BalancerRecord record;
+  record.name = settings_.name;
+  record.zone = settings_.zone;
+  record.control =
+      PeerEndpoint(settings_, settings_.ip, PeerPort::kControl).Pack();
+  record.replica =
+      PeerEndpoint(settings_, settings_.ip, PeerPort::kReplica).Pack();
+  const InstanceCapacity& capacity = settings_.capacity;
+  if (capacity.cpu_cores) record.__set_cpu_cores(*capacity.cpu_cores);
+  if (capacity.link_mbps) record.__set_link_mbps(*capacity.link_mbps);
+  return record;
+}
+
 bool BalancerProcess::Ready() {
-  return !leaving_rotation_ && configured_ && follower_.loaded();
+  return !leaving_rotation_ && configured_ && follower_.loaded() &&
+         startup_.Allows(deps_.loop.Now());
 }
 
 void BalancerProcess::ToAgent(const Endpoint& agent, std::string_view packet) {
@@ -214,10 +231,7 @@
                               StoreRevision revision) {
   if (HasPrefix(key, DirectoryKeys::kBalancerPrefix)) {
     const auto record = DecodeCompact<schema::BalancerRecord>(value);
-    if (!record || record->name == settings_.name) return;
-    exchange_.AddPeer(key, Endpoint::Unpack(record->control),
-                      Endpoint::Unpack(record->replica));
-    rotation_.OnPeerListed(deps_.loop.Now(), key, record->zone);
+    if (record) OnBalancerEntry(key, *record, revision);
     return;
   }
   if (!HasPrefix(key, DirectoryKeys::kTargetPrefix)) return;
@@ -241,9 +255,28 @@
   directory_.Put(deps_.loop.Now(), key, *record, revision);
 }
 
+void BalancerProcess::OnBalancerEntry(const std::string& key,
+                                      const schema::BalancerRecord& record,
+                                      StoreRevision revision) {
+  if (record.name == settings_.name) {
+    if (!follower_.loaded()) startup_.OnEarlierEntry();
+    return;
+  }
+  exchange_.AddPeer(key, Endpoint::Unpack(record.control),
+                    Endpoint::Unpack(record.replica));
+  rotation_.OnPeerListed(deps_.loop.Now(), key, record.zone);
+  // The first read of a later era returns entries restored from a copy.
+  const bool written_since =
+      follower_.loaded() && revision.era == follower_.directory_revision().era;
+  startup_.OnPeerListed(
+      key, {record.zone, CapacityOf(record)},
+      written_since ? EntryAge::kWrittenSince : EntryAge::kMayBeEarlier);
+}
+
 void BalancerProcess::OnEntryRemoved(const std::string& key,
                                      StoreRevision revision) {
   exchange_.RemovePeer(key);
+  startup_.OnPeerRemoved(key);
   rotation_.OnPeerRemoved(deps_.loop.Now(), key);
   LogLine(deps_.log, EventKind::kStateChange, kLogComponent, "entry-removed")
       .Add("key", key)
@@ -285,6 +318,7 @@
     balancer_.OnReport(deps_.loop.Now(), message->report);
   }
   if (message->__isset.version) {
+    startup_.OnPeerVersion(DirectoryKeys::OfBalancer(from));
     exchange_.OnPeerVersion(
         from, PeerEndpoint(settings_, from.ip(), PeerPort::kReplica),
         message->version);
@@ -322,6 +356,7 @@
   const TimePoint now = deps_.loop.Now();
   follower_.SetFollowerCount(exchange_.peer_count() + 1);
   balancer_.SetStoreCurrent(follower_.current());
+  Ready();  // Logs the end of a startup wait also between probes.
   const auto gone = directory_.Expire(now, follower_.current());
   if (!gone.empty()) balancer_.OnAgentsRemoved(now, gone);
   balancer_.OnTick(now);
@@ -409,6 +444,8 @@
        follower_.counters().restored_entries_held},
       {"restored_entries_lost_total", follower_.counters().entries_lost},
       {"store_current", follower_.current() ? 1 : 0},
+      {"startup_wait_ms",
+       startup_.waited(deps_.loop.Now()) / std::chrono::milliseconds(1)},
       {"send_failures_total",
        client_socket_->send_failures() + agent_socket_->send_failures()},
   };
