Calls that a timer starts no longer wait for the next timer

Cause: h2o's loop polls before it runs pending callbacks. A request that a timer or a posted callback starts is written at once, but its completion is pending, and the response is read only after it. So a call to the store waited for the next timer or packet: up to 200 ms in a balancer without traffic, up to 1 s without timers. A balancer's entry takes four calls in a row at its start.

Change: after timers have run, the loop polls once with 0 ms.

--- a/packages/net/include/net/event_loop.h
+++ b/packages/net/include/net/event_loop.h
@@ -62,7 +62,8 @@
 
   uint64_t Add(Duration delay, Duration period, Callback callback);
   void Remove(uint64_t key);
-  void RunDueTimers();
+  /** Returns whether any timer was due. */
+  bool RunDueTimers();
   /** Returns the time until the next timer is due, with an upper limit. */
   int PollTimeoutMs() const;
 
--- a/packages/net/src/event_loop.cc
+++ b/packages/net/src/event_loop.cc
@@ -40,9 +40,13 @@
 
 void EventLoop::Run() {
   stopped_ = false;
+  // h2o polls before it runs callbacks that are pending, such as the one of a
+  // write that a timer started and that completed at once. Without the poll of
+  // 0 ms the response to that write would wait for the next timer.
+  bool may_have_pending = true;
   while (!stopped_) {
-    h2o_evloop_run(loop_, PollTimeoutMs());
-    RunDueTimers();
+    h2o_evloop_run(loop_, may_have_pending ? 0 : PollTimeoutMs());
+    may_have_pending = RunDueTimers();
   }
 }
 
@@ -65,8 +69,9 @@
   timers_.erase(entry);
 }
 
-void EventLoop::RunDueTimers() {
+bool EventLoop::RunDueTimers() {
   const TimePoint now = clock_.Now();
+  bool any = false;
   while (!keys_by_due_time_.empty() &&
          keys_by_due_time_.begin()->first <= now) {
     const uint64_t key = keys_by_due_time_.begin()->second;
@@ -80,7 +85,9 @@
       keys_by_due_time_.emplace(entry.due, key);
     }
     callback();
+    any = true;
   }
+  return any;
 }
 
 int EventLoop::PollTimeoutMs() const {
--- a/packages/net/tests/net_test.cc
+++ b/packages/net/tests/net_test.cc
@@ -1,8 +1,10 @@
 #include <rapidcheck/catch.h>
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "core/time.h"
@@ -200,6 +202,68 @@
   }
 }
 
+/** An HTTP server in a thread of its own, so that it wakes no other loop. */
+class ServerThread {
+ public:
+  ServerThread() : loop_(clock_) {
+    for (uint16_t port = 20480; port < 21480 && !server_; ++port) {
+      endpoint_ = Endpoint(INADDR_LOOPBACK, port);
+      auto server = HttpServer::Open(
+          loop_, endpoint_,
+          [this](const HttpRequest& request,
+                 const std::shared_ptr<HttpResponder>& responder) {
+            responder->Send(HttpResponse());
+            if (request.path == "/stop") loop_.Stop();
+          });
+      if (server) server_ = std::move(*server);
+    }
+    thread_ = std::thread([this] { loop_.Run(); });
+  }
+  /** Waits for the end of the thread; "/stop" must have been requested. */
+  ~ServerThread() { thread_.join(); }
+
+  const Endpoint& endpoint() const { return endpoint_; }
+
+ private:
+  SteadyClock clock_;
+  EventLoop loop_;
+  Endpoint endpoint_;
+  std::unique_ptr<HttpServer> server_;
+  std::thread thread_;
+};
+
+TEST_CASE("A call that a timer starts does not wait for the next timer") {
+  // The loop polled before it ran the callback of a completed write, so that
+  // each of several calls in a row waited for an unrelated timer, or for the
+  // longest poll of 1 s if there was none.
+  constexpr int kCalls = 20;
+  ServerThread server;
+  const SteadyClock clock;
+  EventLoop loop(clock);
+  HttpClient client(loop, server.endpoint());
+  std::unique_ptr<HttpCall> call;
+  int completed = 0;
+  const std::function<void()> start_call = [&] {
+    const bool last = completed + 1 == kCalls;
+    call = client.Call(Get(last ? "/stop" : "/"), ConnectionUse::kPooled,
+                       [&, last](const HttpResult& result) {
+                         REQUIRE(result.complete);
+                         ++completed;
+                         if (last) {
+                           loop.Stop();
+                         } else {
+                           loop.Post(start_call);
+                         }
+                       });
+  };
+  bool in_time = true;
+  const auto limit =
+      loop.After(std::chrono::seconds(kCalls / 2), [&] { in_time = false; });
+  start_call();
+  loop.Run();
+  CHECK(in_time);
+}
+
 TEST_CASE("A response cut off in its body is reported as truncated") {
   HttpFixture http(
       [](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
