--- a/packages/steering_daemon/tests/startup_fleet_test.cc
+++ b/packages/steering_daemon/tests/startup_fleet_test.cc
@@ -166,6 +166,11 @@
     FAIL("no process of " << name);
     return *processes_.back();
   }
+  /** The store returns from a copy of its data of this moment. */
+  void RestartStore() {
+    const MemoryStore copy = memory_;
+    memory_.Restore(copy);
+  }
   /** Ends a process by a planned stop or by a crash. */
   void StopAsPlanned(const std::string& name) {
     Find(name).StopAsPlanned();
@@ -357,6 +362,19 @@
   CHECK(fleet.ReadyAfter("a-small-1") <= kAtOnce);
 }
 
+TEST_CASE("Entries that the store restores during a wait do not end it") {
+  Fleet fleet;
+  AddMixedZones(fleet);
+  fleet.RunSinceLongAgo();
+  fleet.CutPower();
+  fleet.Run(kPowerLoss);
+  fleet.Start("a-small-1");
+  fleet.Run(milliseconds(300));
+  fleet.RestartStore();
+  fleet.Run(seconds(2));
+  CHECK(fleet.ReadyAfter("a-small-1") == StartupReadiness::kMaxWait);
+}
+
 TEST_CASE("Leases that end during a power loss leave nobody to wait for") {
   Fleet fleet;
   AddMixedZones(fleet);
