Notices to agents, and the state of an evacuated zone in both processes

An agent has to learn that its zone is evacuated although it does not read the store, from few balancers although each of them knows it.

ZoneEvacuations keeps a restoration that arrives before the evacuation that it ends, so that the latter has no effect then. HashPlacement leaves out evacuated zones, too.

--- a/benchmark/steering_benchmark.cc
+++ b/benchmark/steering_benchmark.cc
@@ -49,7 +49,8 @@
 struct FlowBalancerFixture {
   explicit FlowBalancerFixture(int64_t agents)
       : placement(Topology("here"), directory),
-        balancer({Topology("here")}, codec, directory, placement, output, log) {
+        balancer({Topology("here")}, codec, directory, zones, placement, output,
+                 log) {
     RouteTable routes;
     routes.version = 1;
     routes.routes[kRoute].services = {{"orders", 1}};
@@ -70,7 +71,8 @@
   PlatformPacketCodec codec;
   SilentLog log;
   DiscardingOutput output;
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory{zones};
   LeastWaitPlacement placement;
   FlowBalancer balancer;
 };
@@ -104,7 +106,8 @@
 
 void BM_DirectoryEntry(benchmark::State& state) {
   for (auto unused : state) {
-    TargetDirectory directory;
+    ZoneEvacuations zones;
+    TargetDirectory directory(zones);
     for (int64_t i = 0; i < state.range(0); ++i) {
       directory.Put(kNow, std::to_string(i), MakeRecord(i),
                     StoreRevision(i + 1));
@@ -120,7 +123,8 @@
 
 void BM_DirectoryMemory(benchmark::State& state) {
   for (auto unused : state) {
-    TargetDirectory directory;
+    ZoneEvacuations zones;
+    TargetDirectory directory(zones);
     const size_t before = mallinfo2().uordblks;
     for (int64_t i = 0; i < state.range(0); ++i) {
       directory.Put(kNow, "online/target/" + std::to_string(i), MakeRecord(i),
--- a/packages/placement/include/placement/placement.h
+++ b/packages/placement/include/placement/placement.h
@@ -40,8 +40,14 @@
  */
 class HashPlacement : public PlacementPolicy {
  public:
+  explicit HashPlacement(const TargetDirectory& directory)
+      : directory_(directory) {}
+
   AgentView* Choose(TimePoint now, const PlacementRequest& request,
                     const std::vector<AgentView*>& agents) override;
+
+ private:
+  const TargetDirectory& directory_;
 };
 
 /**
--- a/packages/placement/include/placement/target_directory.h
+++ b/packages/placement/include/placement/target_directory.h
@@ -9,6 +9,7 @@
 #include "core/endpoint.h"
 #include "core/store_revision.h"
 #include "core/time.h"
+#include "placement/zone_evacuations.h"
 #include "steering_types.h"
 
 namespace sesamesaddle {
@@ -24,6 +25,8 @@
   bool listed = true;
   TimePoint unlisted_since{};
   TimePoint listed_since{};
+  /** Time at which its zone was restored after an evacuation, if ever. */
+  TimePoint zone_restored{};
 
   int in_flight = 0;
   int opening = 0;
@@ -91,6 +94,9 @@
   static constexpr Duration kSilentTargetBackoff =
       std::chrono::milliseconds(300);
 
+  /** @param zones  must outlive the directory */
+  explicit TargetDirectory(const ZoneEvacuations& zones) : zones_(zones) {}
+
   /** Adds or updates a record of the store; older revisions are ignored. */
   void Put(TimePoint now, const std::string& key,
            const schema::TargetRecord& record, StoreRevision revision);
@@ -131,6 +137,13 @@
   /** Whether new flows may be placed on the target. */
   bool Usable(TimePoint now, const AgentView& view) const;
 
+  /** Whether the target is in an evacuated zone. */
+  bool InEvacuatedZone(const AgentView& view) const {
+    return zones_.Evacuated(view.record.zone);
+  }
+  /** Applies the time at which the zone was restored to its targets. */
+  void OnZoneRestored(const std::string& zone);
+
   /**
    * Drops entries that have been unlisted for kUnlistedGracePeriod without a
    * report.
@@ -142,7 +155,11 @@
 
  private:
   void RebuildServiceIndex();
+  /** Returns when the zone was restored; zero if it is evacuated or never was.
+   */
+  TimePoint RestoredAt(const std::string& zone) const;
 
+  const ZoneEvacuations& zones_;
   std::map<Endpoint, AgentView> agents_;
   TimePoint last_report_from_any_{};
   std::map<std::string, Endpoint> by_key_;
--- a/packages/placement/include/placement/zone_evacuations.h
+++ b/packages/placement/include/placement/zone_evacuations.h
@@ -18,8 +18,20 @@
   bool evacuated = false;
   /** Store revision at which the operators set or ended it. */
   StoreRevision revision;
-  /** Time at which this process learned of the state. */
+  /**
+   * Time at which this process saw the zone evacuated or restored; zero if it
+   * knows the zone only as restored.
+   */
   TimePoint since{};
+  /** Time at which this process learned of `revision`. */
+  TimePoint known_since{};
+};
+
+/** Effect of a zone's state on what was known. */
+enum class ZoneUpdate {
+  kNone,     // It is not later.
+  kRenewed,  // The same state, set at a later revision.
+  kChanged,  // The zone was evacuated or restored.
 };
 
 /**
@@ -30,17 +42,25 @@
 class ZoneEvacuations {
  public:
   /**
-   * Applies a state unless it is older than the known one.
-   * @return whether the zone's state has changed
+   * Share of its slots that placement counts on after a zone was restored: the
+   * targets may have been started shortly before, and the other zones' load
+   * would return at once.
    */
-  bool Apply(TimePoint now, const std::string& zone, bool evacuated,
-             StoreRevision revision);
-  bool Apply(TimePoint now, const schema::ZoneState& state);
+  static constexpr double kFirstRestoredShare = 0.25;
+  /** The share rises by kFirstRestoredShare each time this has passed. */
+  static constexpr Duration kRestoreStep = std::chrono::seconds(1);
+  /** @param since  time since the zone was restored */
+  static double RestoredShare(Duration since);
+
+  /** Applies a state unless it is older than the known one. */
+  ZoneUpdate Apply(TimePoint now, const std::string& zone, bool evacuated,
+                   StoreRevision revision);
+  ZoneUpdate Apply(TimePoint now, const schema::ZoneState& state);
 
   /**
    * Records that at `revision` the store listed exactly these zones as
    * evacuated, so that older states of other zones are outdated.
-   * @return the zones whose state has changed
+   * @return the zones that are restored by it
    */
   std::vector<std::string> ApplyList(TimePoint now,
                                      const std::set<std::string>& evacuated,
@@ -48,11 +68,12 @@
 
   /** Whether the zone's targets get no new flows. */
   bool Evacuated(const std::string& zone) const;
-  /** Returns the zone's state, or null if it is not known to have one. */
+  /** Returns the number of zones that are evacuated. */
+  int EvacuatedCount() const;
+  /** Returns the zone's state, or null if it was never evacuated. */
   const ZoneEvacuation* Find(const std::string& zone) const;
   /**
-   * Returns the zone's state as a message; nothing if the store was not listed
-   * yet and no other source had one.
+   * Returns the zone's state as a message; nothing if it was never evacuated.
    */
   std::optional<schema::ZoneState> Message(const std::string& zone) const;
   const std::map<std::string, ZoneEvacuation>& zones() const { return zones_; }
--- a/packages/placement/src/placement.cc
+++ b/packages/placement/src/placement.cc
@@ -104,7 +104,9 @@
 
 std::unique_ptr<PlacementPolicy> MakePlacement(
     PlacementKind kind, Topology topology, const TargetDirectory& directory) {
-  if (kind == PlacementKind::kHash) return std::make_unique<HashPlacement>();
+  if (kind == PlacementKind::kHash) {
+    return std::make_unique<HashPlacement>(directory);
+  }
   return std::make_unique<LeastWaitPlacement>(std::move(topology), directory);
 }
 
@@ -116,6 +118,7 @@
   for (AgentView* view : agents) {
     const uint64_t weight = Weight(request.flow, *view);
     if (!view->listed || Contains(request.excluded, view->agent)) continue;
+    if (directory_.InEvacuatedZone(*view)) continue;
     if (best != nullptr && weight < best_weight) continue;
     best = view;
     best_weight = weight;
--- a/packages/placement/src/target_directory.cc
+++ b/packages/placement/src/target_directory.cc
@@ -16,6 +16,9 @@
   double slots = std::max(1, view.record.slots);
   const auto slow_start = std::chrono::milliseconds(view.record.slow_start_ms);
   if (now - view.listed_since < slow_start) slots *= kSlowStartShare;
+  if (view.zone_restored != TimePoint()) {
+    slots *= ZoneEvacuations::RestoredShare(now - view.zone_restored);
+  }
   const int work =
       view.in_flight + view.opening + view.queued + view.placed_since_report;
   return work / slots;
@@ -36,6 +39,7 @@
     view.listed_since = now;
   }
   view.record = record;
+  view.zone_restored = RestoredAt(record.zone);
   view.agent = agent;
   view.service_check = ServiceCheck(record.service_name);
   view.revision = revision;
@@ -154,6 +158,7 @@
 
 bool TargetDirectory::Usable(TimePoint now, const AgentView& view) const {
   if (view.record.state != schema::TargetState::kReady) return false;
+  if (InEvacuatedZone(view)) return false;
   const bool restarting =
       view.restarting && now - view.last_report < kRestartTimeout;
   if (restarting || now < view.backoff_until) return false;
@@ -162,6 +167,17 @@
          (view.reported && now - view.last_report < kUnlistedGracePeriod);
 }
 
+void TargetDirectory::OnZoneRestored(const std::string& zone) {
+  for (auto& [agent, view] : agents_) {
+    if (view.record.zone == zone) view.zone_restored = RestoredAt(zone);
+  }
+}
+
+TimePoint TargetDirectory::RestoredAt(const std::string& zone) const {
+  const ZoneEvacuation* state = zones_.Find(zone);
+  return state == nullptr || state->evacuated ? TimePoint() : state->since;
+}
+
 std::vector<Endpoint> TargetDirectory::Expire(TimePoint now,
                                               bool store_current) {
   std::vector<Endpoint> dropped;
--- a/packages/placement/src/zone_evacuations.cc
+++ b/packages/placement/src/zone_evacuations.cc
@@ -4,24 +4,27 @@
 
 namespace sesamesaddle {
 
-bool ZoneEvacuations::Apply(TimePoint now, const std::string& zone,
-                            bool evacuated, StoreRevision revision) {
-  const auto it = zones_.find(zone);
-  if (it == zones_.end()) {
-    if (!evacuated || revision <= listed_at_) return false;
-    zones_[zone] = {true, revision, now};
-    return true;
-  }
+double ZoneEvacuations::RestoredShare(Duration since) {
+  const auto steps = static_cast<double>(1 + since / kRestoreStep);
+  return std::min(1.0, steps * kFirstRestoredShare);
+}
+
+ZoneUpdate ZoneEvacuations::Apply(TimePoint now, const std::string& zone,
+                                  bool evacuated, StoreRevision revision) {
+  const auto [it, added] = zones_.try_emplace(zone);
   ZoneEvacuation& known = it->second;
-  if (revision <= known.revision) return false;
+  if (added) known = {false, listed_at_, TimePoint(), now};
+  if (revision <= known.revision) return ZoneUpdate::kNone;
   known.revision = revision;
-  if (known.evacuated == evacuated) return false;
+  known.known_since = now;
+  if (known.evacuated == evacuated) return ZoneUpdate::kRenewed;
   known.evacuated = evacuated;
   known.since = now;
-  return true;
+  return ZoneUpdate::kChanged;
 }
 
-bool ZoneEvacuations::Apply(TimePoint now, const schema::ZoneState& state) {
+ZoneUpdate ZoneEvacuations::Apply(TimePoint now,
+                                  const schema::ZoneState& state) {
   return Apply(now, state.zone, state.evacuated,
                {StoreEra(state.era), state.revision});
 }
@@ -29,15 +32,15 @@
 std::vector<std::string> ZoneEvacuations::ApplyList(
     TimePoint now, const std::set<std::string>& evacuated,
     StoreRevision revision) {
-  std::vector<std::string> changed;
-  for (auto& [zone, known] : zones_) {
+  std::vector<std::string> restored;
+  for (const auto& [zone, known] : zones_) {
     if (known.evacuated && evacuated.count(zone) == 0 &&
-        Apply(now, zone, false, revision)) {
-      changed.push_back(zone);
+        Apply(now, zone, false, revision) == ZoneUpdate::kChanged) {
+      restored.push_back(zone);
     }
   }
   listed_at_ = std::max(listed_at_, revision);
-  return changed;
+  return restored;
 }
 
 bool ZoneEvacuations::Evacuated(const std::string& zone) const {
@@ -45,6 +48,12 @@
   return known != nullptr && known->evacuated;
 }
 
+int ZoneEvacuations::EvacuatedCount() const {
+  return static_cast<int>(
+      std::count_if(zones_.begin(), zones_.end(),
+                    [](const auto& entry) { return entry.second.evacuated; }));
+}
+
 const ZoneEvacuation* ZoneEvacuations::Find(const std::string& zone) const {
   const auto it = zones_.find(zone);
   return it == zones_.end() ? nullptr : &it->second;
@@ -53,14 +62,12 @@
 std::optional<schema::ZoneState> ZoneEvacuations::Message(
     const std::string& zone) const {
   const ZoneEvacuation* known = Find(zone);
-  if (known == nullptr && listed_at_ == StoreRevision()) return std::nullopt;
-  const StoreRevision revision =
-      known == nullptr ? listed_at_ : known->revision;
+  if (known == nullptr) return std::nullopt;
   schema::ZoneState state;
   state.zone = zone;
-  state.evacuated = known != nullptr && known->evacuated;
-  state.revision = revision.number;
-  state.era = revision.era.value();
+  state.evacuated = known->evacuated;
+  state.revision = known->revision.number;
+  state.era = known->revision.era.value();
   return state;
 }
 
--- a/packages/placement/tests/placement_test.cc
+++ b/packages/placement/tests/placement_test.cc
@@ -16,7 +16,8 @@
 const TimePoint kNow(seconds(1000));
 
 TEST_CASE("Placement prefers the own zone and a shorter wait") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "a", MakeRecord(1, "here"), StoreRevision(1));
   directory.Put(kNow, "b", MakeRecord(2, "there"), StoreRevision(2));
   LeastWaitPlacement placement(Topology("here"), directory);
@@ -42,7 +43,8 @@
 TEST_CASE("Targets of the own region are used until they are much busier") {
   const Topology here("here",
                       {{"here", "east"}, {"there", "east"}, {"far", "west"}});
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   for (uint32_t i = 1; i <= 6; ++i) {
     directory.Put(kNow, std::to_string(i),
                   MakeRecord(i, i <= 2   ? "here"
@@ -83,7 +85,8 @@
 }
 
 TEST_CASE("A target with a longer response time is not chosen at equal load") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   for (uint32_t i = 1; i <= 3; ++i) {
     directory.Put(kNow, std::to_string(i), MakeRecord(i), StoreRevision(i));
     schema::AgentReport report = MakeReport(i);
--- a/packages/placement/tests/target_directory_test.cc
+++ b/packages/placement/tests/target_directory_test.cc
@@ -15,7 +15,8 @@
 const TimePoint kNow(seconds(1000));
 
 TEST_CASE("An older revision of an entry is ignored") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "k", MakeRecord(1, "z", "new"), StoreRevision(20));
   directory.Put(kNow, "k", MakeRecord(1, "z", "old"), StoreRevision(10));
   directory.Remove(kNow, "k", StoreRevision(15));
@@ -27,7 +28,8 @@
 
 TEST_CASE(
     "An unlisted entry is dropped after the grace period unless it reports") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
   directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
   directory.Remove(kNow, "a", StoreRevision(3));
@@ -43,7 +45,8 @@
 }
 
 TEST_CASE("An entry that is listed again in time is usable") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
   directory.Remove(kNow, "a", StoreRevision(2));
   directory.Put(kNow + seconds(2), "a", MakeRecord(1), StoreRevision(3));
@@ -52,7 +55,8 @@
 }
 
 TEST_CASE("A silent, draining or restarting agent gets no new flows") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
   directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
   AgentView& view = *directory.Find(Endpoint(1, 8172));
@@ -76,7 +80,8 @@
 
 TEST_CASE(
     "An agent whose target changes its service is listed under the new one") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "k", MakeRecord(1), StoreRevision(1));
   schema::TargetRecord other = MakeRecord(1, "z", "next");
   other.service_name = "reports";
@@ -90,7 +95,8 @@
 }
 
 TEST_CASE("A silent agent is usable again after the retry delay") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
   directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
   AgentView& view = *directory.Find(Endpoint(1, 8172));
@@ -109,7 +115,8 @@
 }
 
 TEST_CASE("One lost report does not make an agent unreachable") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
   directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
   AgentView& view = *directory.Find(Endpoint(1, 8172));
@@ -123,7 +130,8 @@
 }
 
 TEST_CASE("An agent that answers no packet becomes unreachable") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
   directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
   AgentView& view = *directory.Find(Endpoint(1, 8172));
@@ -140,7 +148,8 @@
 }
 
 TEST_CASE("A restarting agent is usable after its new entry or a timeout") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
   AgentView& view = *directory.Find(Endpoint(1, 8172));
   schema::AgentReport report = MakeReport(1);
@@ -158,7 +167,8 @@
 }
 
 TEST_CASE("A report about another service is ignored") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
   schema::AgentReport report = MakeReport(1);
   report.service_name = "reports";
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -16,6 +16,7 @@
 #include "core/event_log.h"
 #include "core/time.h"
 #include "flow_model/packet.h"
+#include "placement/zone_evacuations.h"
 #include "steering/report_rate_controller.h"
 #include "steering/target_failure_detector.h"
 #include "steering/target_monitor.h"
@@ -45,6 +46,8 @@
   std::string service;
   /** Maximum lifetime of a flow; older ones may be dropped by any process. */
   Duration flow_lifetime = std::chrono::seconds(60);
+  /** Availability zone of the agent and its target. */
+  std::string zone = {};
 };
 
 /** Counts since the start of the process. */
@@ -55,6 +58,8 @@
   int64_t late_syns = 0;
   int64_t accepted = 0;
   int64_t refused = 0;
+  /** SYNs refused or returned because the zone is evacuated. */
+  int64_t refused_evacuated = 0;
   int64_t queued = 0;
   int64_t yielded = 0;
   int64_t returned_by_target = 0;
@@ -187,6 +192,8 @@
   int in_flight() const { return in_flight_; }
   /** Whether the target fails requests, whatever its health check reports. */
   bool failing() const { return failing_; }
+  /** Whether the agent's zone is evacuated, so that it refuses new flows. */
+  bool zone_evacuated() const { return zones_.Evacuated(options_.zone); }
   /** Whether any balancer is active, so that reports may be due. */
   bool busy() const { return !balancers_.empty(); }
   /** Whether a report should be sent before the period ends. */
@@ -259,6 +266,12 @@
   void ExpireQueue(TimePoint now);
   /** Returns queued SYNs to their balancers. */
   void ReturnQueued(TimePoint now, std::vector<QueuedSyn> syns, HopKind kind);
+  /**
+   * Applies a balancer's statement of the state of this agent's zone.
+   * @return whether the statement is valid
+   */
+  bool ApplyZone(TimePoint now, const Endpoint& balancer,
+                 const schema::ZoneState& state);
   void OnData(TimePoint now, const Endpoint& balancer,
               const PacketHeader& header, char* packet, size_t size);
   void DeliverToTarget(TimePoint now, const PacketHeader& header,
@@ -316,6 +329,8 @@
   EventLog& log_;
   DurationObserver& response_times_;
   TargetMonitor target_monitor_;
+  /** The state of the agent's own zone, if it was ever evacuated. */
+  ZoneEvacuations zones_;
   FlowAgentCounters counters_;
   FlowMap flows_;
   SynQueue queue_;
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "admission/admission_control.h"
@@ -21,6 +22,8 @@
 #include "placement/placement.h"
 #include "placement/split_overflow.h"
 #include "placement/target_directory.h"
+#include "placement/zone_evacuations.h"
+#include "steering/notice_schedule.h"
 #include "steering/report_rate_controller.h"
 #include "steering_types.h"
 
@@ -71,6 +74,9 @@
   int64_t resets_no_route = 0;
   int64_t resets_no_target = 0;
   int64_t resets_overload = 0;
+  /** New flows refused because all their targets are in evacuated zones. */
+  int64_t resets_zones_evacuated = 0;
+  int64_t notices = 0;
   int64_t waited_for_room = 0;
   int64_t resets_nobody_holds = 0;
   int64_t resets_target_gone = 0;
@@ -112,8 +118,9 @@
   static constexpr size_t kMaxTargetsPerSyn = 3;
 
   FlowBalancer(FlowBalancerOptions options, const PacketCodec& codec,
-               TargetDirectory& directory, PlacementPolicy& placement,
-               FlowBalancerOutput& output, EventLog& log);
+               TargetDirectory& directory, ZoneEvacuations& zones,
+               PlacementPolicy& placement, FlowBalancerOutput& output,
+               EventLog& log);
 
   /**
    * Handles a packet from a client.
@@ -130,6 +137,26 @@
    */
   void Apply(TimePoint now, RouteTable routes,
              UpdateContinuity continuity = UpdateContinuity::kContiguous);
+  /**
+   * Applies a state of an availability zone unless a later one is known.
+   * @param source  "store", "peer" or "agent", for the log
+   */
+  void ApplyZone(TimePoint now, const schema::ZoneState& state,
+                 std::string_view source);
+  /** Ends all evacuations that the store did not list at `revision`. */
+  void ApplyZoneList(TimePoint now, const std::set<std::string>& evacuated,
+                     StoreRevision revision);
+  /**
+   * Sets the balancers that the store lists, which share the notices to agents.
+   */
+  void SetBalancers(const Endpoint& self, std::vector<Endpoint> peers) {
+    notices_.SetBalancers(self, std::move(peers));
+  }
+  /**
+   * Called when the agent's entry is new or was written again: its process may
+   * have restarted and know none of the operators' settings.
+   */
+  void OnAgentListed(TimePoint now, const Endpoint& agent);
   /** Resets the flows of agents that were removed from the directory. */
   void OnAgentsRemoved(TimePoint now, const std::vector<Endpoint>& agents);
   /**
@@ -158,7 +185,7 @@
   /** Whether the next OnTick has work. */
   bool busy() const {
     return !pending_syns_.empty() || !locator_.idle() || !queries_.empty() ||
-           !suspects_.empty();
+           !suspects_.empty() || !notices_.idle();
   }
 
  private:
@@ -260,6 +287,22 @@
   /** Resets a flow of an unreachable agent. */
   void ResetForSilentTarget(const Flow& flow, const FlowEntry& entry);
   void UpdateReportPeriod(TimePoint now);
+  /**
+   * Refuses a new flow if its services have targets, but all of them are in
+   * evacuated zones. `pending` is invalid then.
+   * @return whether the flow was refused
+   */
+  bool RefuseIfEvacuated(const Flow& flow, const Route& route);
+  /** Begins the notices of a zone's new state to its agents. */
+  void NotifyZone(TimePoint now, const std::string& zone);
+  void LogZone(const std::string& zone, std::string_view source);
+  /** Learns from a report the state of its agent's zone. */
+  void OnZoneReported(TimePoint now, const AgentView& agent,
+                      const schema::AgentReport& report);
+  /** Whether the report shows that its agent lacks something of a notice. */
+  bool LacksNotice(const AgentView& agent,
+                   const schema::AgentReport& report) const;
+  void SendNotices(TimePoint now);
   /** Returns what the agent needs of the operators' settings. */
   schema::AgentNotice MakeNotice(const AgentView& agent) const;
   void StartSearch(TimePoint now, const Flow& flow, const PacketHeader& header,
@@ -279,6 +322,7 @@
 
   const PacketCodec& codec_;
   TargetDirectory& directory_;
+  ZoneEvacuations& zones_;
   PlacementPolicy& placement_;
   FlowBalancerOutput& output_;
   EventLog& log_;
@@ -296,6 +340,7 @@
   std::set<Endpoint> suspects_;
   Endpoint last_reference_;
   ReportRateController report_rate_;
+  NoticeSchedule notices_;
   int64_t solicited_before_ = 0;
   TimePoint next_sweep_{};
   FlowBalancerCounters counters_;
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -124,6 +124,11 @@
     }
     return;
   }
+  if (!retransmission && zone_evacuated()) {
+    ++counters_.refused_evacuated;
+    RefuseSyn(now, balancer, flow, "zone-evacuated", packet, size);
+    return;
+  }
   const int slots = target_monitor_.announcement().slots;
   const SynTimes times = SynTimes::Unpack(header.echo);
   if (retransmission ||
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -138,6 +138,7 @@
   report.not_held = TakeKeys(balancer_state.not_held, kMaxFlowsPerReport);
   report.unsure = TakeKeys(balancer_state.unsure, kMaxFlowsPerReport);
   report.__set_failing(failing_);
+  if (const auto zone = zones_.Message(options_.zone)) report.__set_zone(*zone);
   report.restarting = stopping_ && !target_monitor_.gone();
   balancer_state.packets_since_report = false;
   balancer_state.report_owed = false;
@@ -196,11 +197,6 @@
   return peers;
 }
 
-void FlowAgent::OnNotice(TimePoint now, const Endpoint& balancer,
-                         const schema::AgentNotice& /*notice*/) {
-  RecordUrgentContact(now, balancer);
-}
-
 void FlowAgent::ReportToAll() {
   for (auto& [endpoint, balancer_state] : balancers_) {
     balancer_state.urgent = true;
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -23,10 +23,11 @@
 
 FlowBalancer::FlowBalancer(FlowBalancerOptions options,
                            const PacketCodec& codec, TargetDirectory& directory,
-                           PlacementPolicy& placement,
+                           ZoneEvacuations& zones, PlacementPolicy& placement,
                            FlowBalancerOutput& output, EventLog& log)
     : codec_(codec),
       directory_(directory),
+      zones_(zones),
       placement_(placement),
       output_(output),
       log_(log),
@@ -95,6 +96,7 @@
   AgentView* chosen = ChooseTarget(now, route, request);
   if (chosen == nullptr) {
     if (tries > 0) return true;
+    if (RefuseIfEvacuated(flow, route)) return false;
     pending.retry_at = now + kPlacementRetryPeriod;
     if (now - pending.arrived <= AdmissionControl::WaitLimit(route)) {
       return true;
@@ -402,6 +404,7 @@
   locator_.OnTick(now);
   RetryPlacements(now);
   ProbeSuspects(now);
+  SendNotices(now);
   FlushQueries(now);
   if (now < next_sweep_) return;
   next_sweep_ = now + kSweepPeriod;
--- a/packages/steering/src/flow_balancer_agents.cc
+++ b/packages/steering/src/flow_balancer_agents.cc
@@ -126,6 +126,7 @@
   AgentView* agent = directory_.Find(Endpoint::Unpack(report.agent));
   directory_.OnReport(now, report);
   if (agent == nullptr) return;
+  OnZoneReported(now, *agent, report);
   if (report.state == schema::TargetState::kGone) ForgetFlowsOf(*agent);
   for (const auto& key : report.accepted) {
     const Flow flow = FromKey(key);
@@ -143,12 +144,6 @@
   }
 }
 
-schema::AgentNotice FlowBalancer::MakeNotice(const AgentView& /*agent*/) const {
-  schema::AgentNotice notice;
-  notice.configuration_version = routes_.version;
-  return notice;
-}
-
 void FlowBalancer::ForgetFlowsOf(const AgentView& agent) {
   for (auto& [flow, entry] : flows_) {
     if (entry.agent == agent.agent) entry.ended = true;
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -159,7 +159,8 @@
 
 TEST_CASE("A SYN that was sent to an agent is not refused for lack of room") {
   // The target may have sent a SYN-ACK, so the client may continue at any time.
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   for (uint32_t i = 1; i <= 2; ++i) {
     directory.Put(kNow, std::to_string(i), MakeRecord(i), StoreRevision(i));
   }
@@ -167,8 +168,8 @@
   SilentLog log;
   CountingOutput output;
   LeastWaitPlacement placement(Topology("z"), directory);
-  FlowBalancer balancer({Topology("z")}, codec, directory, placement, output,
-                        log);
+  FlowBalancer balancer({Topology("z")}, codec, directory, zones, placement,
+                        output, log);
   RouteTable routes;
   routes.version = 1;
   routes.routes[Endpoint(9, 443)].services = {{"orders", 1}};
@@ -751,7 +752,8 @@
 }
 
 TEST_CASE("A failing target gets trials only of repeatable requests") {
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
   for (uint32_t i = 1; i <= 4; ++i) {
     directory.Put(kNow, std::to_string(i), MakeRecord(i), StoreRevision(i));
     directory.OnReport(kNow, MakeReport(i));
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -85,7 +85,8 @@
   SteeringDependencies deps_;
   SteeringSettings settings_;
   SettingsWatcher settings_watcher_;
-  TargetDirectory directory_;
+  ZoneEvacuations zones_;
+  TargetDirectory directory_{zones_};
   std::unique_ptr<PlacementPolicy> placement_;
   FlowBalancer balancer_;
   ReplicaFollower follower_;
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -23,6 +23,7 @@
   options.self = settings.packet_address;
   options.service = settings.service;
   options.flow_lifetime = settings.flow_lifetime;
+  options.zone = settings.zone;
   return options;
 }
 
@@ -316,6 +317,8 @@
       {"syns_late_total", c.late_syns},
       {"flows_accepted_total", c.accepted},
       {"syns_refused_total", c.refused},
+      {"syns_refused_evacuated_total", c.refused_evacuated},
+      {"zones_evacuated", agent_.zone_evacuated() ? 1 : 0},
       {"syns_queued_total", c.queued},
       {"syns_yielded_total", c.yielded},
       {"packets_returned_by_target_total", c.returned_by_target},
--- a/packages/steering_daemon/tests/steering_commands_test.cc
+++ b/packages/steering_daemon/tests/steering_commands_test.cc
@@ -105,14 +105,18 @@
   SilentLog log;
   RecordingOutput output;
   NullDurationObserver observer;
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory{zones};
   LeastWaitPlacement placement{Topology("montreal"), directory};
   FlowBalancer balancer{
-      {Topology("montreal")}, codec, directory, placement, output, log};
-  FlowAgent agent{
-      kNow,  {Endpoint(0x0a010001, 8172), "orders", std::chrono::seconds(60)},
-      codec, output,
-      log,   observer};
+      {Topology("montreal")}, codec, directory, zones, placement, output, log};
+  FlowAgent agent{kNow,
+                  {Endpoint(0x0a010001, 8172), "orders",
+                   std::chrono::seconds(60), "montreal"},
+                  codec,
+                  output,
+                  log,
+                  observer};
   std::map<std::string, ReplicaExchange::Peer> peers = {
       {"balancer/2", {Endpoint(0x0a020002, 7720), Endpoint(0x0a020002, 7721)}}};
 };
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -33,7 +33,7 @@
         index(index),
         placement(MakePlacement(world.placement_, Topology("zone"), directory)),
         flows({Topology("zone"), std::chrono::seconds(60), world.split},
-              world.codec_, directory, *placement, *this, world.log_) {
+              world.codec_, directory, zones, *placement, *this, world.log_) {
     flows.SetStoreCurrent(true);
     flows.Apply(world.scheduler.Now(), world.routes);
   }
@@ -53,7 +53,8 @@
   SteeringWorld& world;
   size_t index;
   bool reading_directory = false;
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory{zones};
   std::unique_ptr<PlacementPolicy> placement;
   FlowBalancer flows;
 };
@@ -64,7 +65,7 @@
         index(index),
         flows(world.scheduler.Now(),
               {AgentAddress(index), world.ServiceOf(index),
-               std::chrono::seconds(60)},
+               std::chrono::seconds(60), "zone"},
               world.codec_, *this, world.log_, observer) {}
 
   void ToTarget(std::string_view packet) override {
