Balancers follow the evacuations in the store

After a change of the era an evacuation that the store lacks is kept for the rewrite period, and ended with the first answer after that; one that reappears is in force at once. The list of all evacuations, which outdates older states of agents and peers, is reported only when none is kept. A process that starts in an era above 0 waits the same time before it reports its first list: the store may just have come back without an evacuation that agents know.

A watch may report only the latest change of a key, so the removal of an evacuation that the replica never had is passed on, too.

--- a/packages/flow_model/include/flow_model/configuration_decoder.h
+++ b/packages/flow_model/include/flow_model/configuration_decoder.h
@@ -18,6 +18,12 @@
       const std::string& document) const = 0;
   /** Returns the store key of the document. */
   virtual std::string store_key() const = 0;
+  /**
+   * Returns the prefix of the store keys of evacuations: while a key exists
+   * below it, the availability zone that the rest of the key names is
+   * evacuated.
+   */
+  virtual std::string evacuation_prefix() const = 0;
 };
 
 }  // namespace sesamesaddle
--- a/packages/registry/include/registry/replica_follower.h
+++ b/packages/registry/include/registry/replica_follower.h
@@ -34,8 +34,15 @@
   virtual int64_t ConfigurationVersion() const = 0;
   virtual void OnEntry(const std::string& key, const std::string& value,
                        StoreRevision revision) = 0;
+  /** Also called for an evacuation that the replica did not have. */
   virtual void OnEntryRemoved(const std::string& key,
                               StoreRevision revision) = 0;
+  /**
+   * Called when these keys are all evacuations that the store held at `as_of`.
+   * Not called while the replica keeps one that the store lacks.
+   */
+  virtual void OnEvacuationsListed(const std::set<std::string>& keys,
+                                   StoreRevision as_of) = 0;
   /** Called when the replica has everything the store held at `as_of`. */
   virtual void OnSynchronized(TimePoint as_of) = 0;
 };
@@ -44,6 +51,11 @@
 struct ReplicaKeys {
   std::string configuration;
   std::string directory_prefix;
+  /**
+   * Prefix of the evacuations of availability zones, which are replicated as
+   * entries; none if empty.
+   */
+  std::string evacuation_prefix;
 };
 
 /** Timeouts and intervals of a ReplicaFollower. */
@@ -134,10 +146,18 @@
   /** Returns what the replica reflects, for comparisons with peers. */
   schema::ReplicaVersion Version() const;
   const FollowerCounters& counters() const { return counters_; }
+  /** Whether the listener is being called for a peer's snapshot. */
+  bool copying_from_peer() const { return copying_from_peer_; }
   /** Returns when the store began to fail; only valid if not current(). */
   TimePoint failed_since() const { return failed_since_; }
 
  private:
+  /** A written value and its revision. */
+  struct Entry {
+    std::string value;
+    StoreRevision revision;
+  };
+
   void List();
   void Watch();
   /** Starts the next watch after the batch delay. */
@@ -178,6 +198,26 @@
   /** Accepts the held entries that are still listed. */
   void AcceptHeldEntries(StoreEra era);
   bool IsDirectoryKey(const std::string& key) const;
+  bool IsEvacuationKey(const std::string& key) const;
+  /**
+   * Keeps evacuations that a new era lacks for the rewrite period: operators
+   * write them again, and one that ends late costs less than one that is
+   * missed. Calls this function also after the first load of a process, which
+   * may follow a change of the era.
+   */
+  void KeepMissingEvacuations();
+  /**
+   * Whether the entry is an evacuation that is kept although the store, or a
+   * peer, lacked it at `as_of`.
+   */
+  bool IsKeptEvacuation(const std::string& key, const Entry& entry,
+                        StoreRevision as_of) const;
+  /**
+   * Called when everything up to `directory_revision_` was applied from the
+   * store: removes kept evacuations after the rewrite period.
+   * @param listed  whether it was the list of all keys
+   */
+  void SettleEvacuations(bool listed);
   void OnFailure(StoreError error);
   void OnSuccess();
   Duration BatchDelay() const;
@@ -200,11 +240,6 @@
   size_t followers_ = 1;
   std::string configuration_;
   StoreRevision configuration_revision_;
-  /** A written value and its revision. */
-  struct Entry {
-    std::string value;
-    StoreRevision revision;
-  };
   std::map<std::string, Entry> entries_;
   /** Revisions of removals, so that older writes do not restore entries. */
   std::map<std::string, StoreRevision> removal_revisions_;
@@ -220,6 +255,11 @@
   bool store_failed_ = false;
   TimePoint failed_since_{};
   TimePoint startup_began_{};
+  bool copying_from_peer_ = false;
+  /** Evacuations of earlier eras are kept until this time. */
+  TimePoint evacuations_kept_until_{};
+  /** Kept evacuations were not removed, or not reported, yet. */
+  bool keeping_evacuations_ = false;
   bool refreshing_ = false;
   /** Whether the next watch waits for the batch delay. */
   bool batch_pending_ = false;
--- a/packages/registry/src/replica_follower.cc
+++ b/packages/registry/src/replica_follower.cc
@@ -17,6 +17,13 @@
 // revision and no items.
 constexpr char kUnusedKey[] = "none/";
 
+std::string WatchedPrefix(const ReplicaKeys& keys) {
+  const std::string prefix(
+      CommonPrefix(keys.configuration, keys.directory_prefix));
+  if (keys.evacuation_prefix.empty()) return prefix;
+  return std::string(CommonPrefix(prefix, keys.evacuation_prefix));
+}
+
 }  // namespace
 
 ReplicaFollower::ReplicaFollower(Store& store, Scheduler& scheduler,
@@ -31,8 +38,7 @@
       options_(options),
       backoff_(random, options.initial_backoff, options.max_backoff),
       read_budget_(read_budget),
-      watched_prefix_(
-          CommonPrefix(keys_.configuration, keys_.directory_prefix)),
+      watched_prefix_(WatchedPrefix(keys_)),
       listener_(listener) {}
 
 bool ReplicaFollower::IsDirectoryKey(const std::string& key) const {
@@ -112,8 +118,11 @@
 void ReplicaFollower::OnListed(const schema::KeyValueList& list) {
   std::set<std::string> present;
   const bool first_of_era = directory_revision_.era < era_ && loaded();
+  const bool may_be_restored = !loaded() && era_ != StoreEra();
+  if (first_of_era || may_be_restored) KeepMissingEvacuations();
   for (const schema::KeyValue& item : list.items) {
-    if (IsDirectoryKey(item.key)) present.insert(item.key);
+    if (IsDirectoryKey(item.key) || IsEvacuationKey(item.key))
+      present.insert(item.key);
     if (ContradictsEarlierEra(item)) {
       HoldEntry(item);
       continue;
@@ -123,6 +132,7 @@
   const size_t before = entries_.size();
   RemoveMissing(present, InEra(list.revision));
   directory_revision_ = std::max(directory_revision_, InEra(list.revision));
+  SettleEvacuations(true);
   if (!first_of_era) return;
   counters_.entries_lost += static_cast<int64_t>(before - entries_.size());
   LogLine(log_, EventKind::kStateChange, kLogComponent, "restored-store-read")
@@ -174,7 +184,8 @@
                                     StoreRevision as_of) {
   std::vector<std::string> missing;
   for (const auto& [key, entry] : entries_) {
-    if (present.count(key) == 0 && entry.revision <= as_of) {
+    if (present.count(key) == 0 && entry.revision <= as_of &&
+        !IsKeptEvacuation(key, entry, as_of)) {
       missing.push_back(key);
     }
   }
@@ -216,6 +227,7 @@
 void ReplicaFollower::ApplyChanges(const schema::KeyValueList& changes) {
   for (const schema::KeyValue& item : changes.items) ApplyChange(item, false);
   directory_revision_ = std::max(directory_revision_, InEra(changes.revision));
+  SettleEvacuations(false);
 }
 
 void ReplicaFollower::Refresh() {
@@ -273,7 +285,7 @@
     if (!item.deleted) {
       ApplyConfiguration(item.value, InEra(item.version), after_gap);
     }
-  } else if (!IsDirectoryKey(item.key)) {
+  } else if (!IsDirectoryKey(item.key) && !IsEvacuationKey(item.key)) {
     return;
   } else if (item.deleted) {
     RemoveEntry(item.key, InEra(item.version));
@@ -316,7 +328,12 @@
                                   StoreRevision revision) {
   held_entries_.erase(key);
   const auto it = entries_.find(key);
-  if (it == entries_.end() || revision < it->second.revision) return;
+  if (it == entries_.end()) {
+    // The listener may know of the evacuation from another process.
+    if (IsEvacuationKey(key)) listener_.OnEntryRemoved(key, revision);
+    return;
+  }
+  if (revision < it->second.revision) return;
   entries_.erase(it);
   if (removal_revisions_.size() >= kMaxRemovalRevisions) {
     removal_revisions_.clear();
@@ -334,12 +351,17 @@
                      true);
   }
   if (peer.directory <= directory_revision_) return;
+  if (directory_revision_.era < peer.directory.era && loaded()) {
+    KeepMissingEvacuations();
+  }
+  copying_from_peer_ = true;
   std::set<std::string> present;
   for (const auto& entry : snapshot.entries) {
     present.insert(entry.key);
     ApplyEntry(entry.key, entry.value, {StoreEra(entry.era), entry.revision});
   }
   RemoveMissing(present, peer.directory);
+  copying_from_peer_ = false;
   LogLine(log_, EventKind::kStateChange, kLogComponent, "copied-from-peer")
       .Add("from_revision", directory_revision_.number)
       .Add("to_revision", peer.directory.number)
--- a/packages/registry/tests/registry_test.cc
+++ b/packages/registry/tests/registry_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -202,17 +203,22 @@
     revisions[key] = revision;
     entries.erase(key);
   }
+  void OnEvacuationsListed(const std::set<std::string>& keys,
+                           StoreRevision /*as_of*/) override {
+    evacuations = keys;
+  }
   void OnSynchronized(TimePoint as_of) override { read_as_of = as_of; }
 
   std::string configuration;
   StoreRevision configuration_revision;
   std::map<std::string, std::string> entries;
   std::map<std::string, StoreRevision> revisions;
+  std::set<std::string> evacuations;
   TimePoint read_as_of{};
   int configurations_after_gap = 0;
 };
 
-const ReplicaKeys kKeys{"op/config", "dir/"};
+const ReplicaKeys kKeys{"op/config", "dir/", "op/evacuate/"};
 
 struct FollowerFixture : Fixture {
   FollowerFixture() : FollowerFixture("") {}
--- a/packages/registry/tests/store_era_test.cc
+++ b/packages/registry/tests/store_era_test.cc
@@ -50,6 +50,8 @@
     revisions[key] = revision;
     entries.erase(key);
   }
+  void OnEvacuationsListed(const std::set<std::string>& /*keys*/,
+                           StoreRevision /*as_of*/) override {}
   void OnSynchronized(TimePoint as_of) override { synchronized = as_of; }
 
   int64_t version = 0;
@@ -63,7 +65,8 @@
   Process(MemoryStore& memory, VirtualScheduler& scheduler,
           SeededRandom& random)
       : store(memory, scheduler),
-        follower(store, scheduler, random, log, {kConfigurationKey, "online/"},
+        follower(store, scheduler, random, log,
+                 {kConfigurationKey, "online/", "op/evacuate/"},
                  FollowerOptions(), StoreReadBudget(2000), listener),
         registration_store(memory, scheduler) {}
 
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -266,6 +266,12 @@
   void ExpireQueue(TimePoint now);
   /** Returns queued SYNs to their balancers. */
   void ReturnQueued(TimePoint now, std::vector<QueuedSyn> syns, HopKind kind);
+  /**
+   * Refuses a new flow's SYN if the agent's zone is evacuated.
+   * @return whether it was refused
+   */
+  bool RefuseIfEvacuated(TimePoint now, const Endpoint& balancer,
+                         const Flow& flow, char* packet, size_t size);
   /**
    * Applies a balancer's statement of the state of this agent's zone.
    * @return whether the statement is valid
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -124,9 +124,7 @@
     }
     return;
   }
-  if (!retransmission && zone_evacuated()) {
-    ++counters_.refused_evacuated;
-    RefuseSyn(now, balancer, flow, "zone-evacuated", packet, size);
+  if (!retransmission && RefuseIfEvacuated(now, balancer, flow, packet, size)) {
     return;
   }
   const int slots = target_monitor_.announcement().slots;
--- a/packages/steering/src/flow_agent_notices.cc
+++ b/packages/steering/src/flow_agent_notices.cc
@@ -19,6 +19,14 @@
   RecordUrgentContact(now, balancer);
 }
 
+bool FlowAgent::RefuseIfEvacuated(TimePoint now, const Endpoint& balancer,
+                                  const Flow& flow, char* packet, size_t size) {
+  if (!zone_evacuated()) return false;
+  ++counters_.refused_evacuated;
+  RefuseSyn(now, balancer, flow, "zone-evacuated", packet, size);
+  return true;
+}
+
 bool FlowAgent::ApplyZone(TimePoint now, const Endpoint& balancer,
                           const schema::ZoneState& state) {
   if (state.zone != options_.zone || state.revision <= 0) {
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -2,6 +2,7 @@
 #define SESAMESADDLE_STEERING_DAEMON_BALANCER_PROCESS_H_
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "net/packet_socket.h"
@@ -60,8 +61,18 @@
   void OnEntry(const std::string& key, const std::string& value,
                StoreRevision revision) override;
   void OnEntryRemoved(const std::string& key, StoreRevision revision) override;
+  void OnEvacuationsListed(const std::set<std::string>& keys,
+                           StoreRevision as_of) override;
   void OnSynchronized(TimePoint as_of) override;
 
+  /** Whether the key is of an evacuation of an availability zone. */
+  bool IsEvacuationKey(const std::string& key) const;
+  /** Returns the availability zone that an evacuation's key names. */
+  std::string ZoneOf(const std::string& key) const;
+  void OnEvacuation(const std::string& key, bool evacuated,
+                    StoreRevision revision);
+  /** Passes on the listed balancers, which share the notices to agents. */
+  void UpdateNotifiers();
   tl::expected<void, NetError> OpenSockets();
   void OnControl(const Endpoint& from, std::string_view bytes);
   void SendToAgent(const Endpoint& agent,
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -28,7 +28,8 @@
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
 
 ReplicaKeys MakeReplicaKeys(const ConfigurationDecoder& decoder) {
-  return {decoder.store_key(), DirectoryKeys::kPrefix};
+  return {decoder.store_key(), DirectoryKeys::kPrefix,
+          decoder.evacuation_prefix()};
 }
 
 Topology MakeTopology(const SteeringSettings& settings) {
@@ -212,12 +213,17 @@
 
 void BalancerProcess::OnEntry(const std::string& key, const std::string& value,
                               StoreRevision revision) {
+  if (IsEvacuationKey(key)) {
+    OnEvacuation(key, true, revision);
+    return;
+  }
   if (HasPrefix(key, DirectoryKeys::kBalancerPrefix)) {
     const auto record = DecodeCompact<schema::BalancerRecord>(value);
     if (!record || record->name == settings_.name) return;
     exchange_.AddPeer(key, Endpoint::Unpack(record->control),
                       Endpoint::Unpack(record->replica));
     rotation_.OnPeerListed(deps_.loop.Now(), key, record->zone);
+    UpdateNotifiers();
     return;
   }
   if (!HasPrefix(key, DirectoryKeys::kTargetPrefix)) return;
@@ -239,11 +245,17 @@
       .Add("era", revision.era.value())
       .Add("revision", revision.number);
   directory_.Put(deps_.loop.Now(), key, *record, revision);
+  balancer_.OnAgentListed(deps_.loop.Now(), Endpoint::Unpack(record->agent));
 }
 
 void BalancerProcess::OnEntryRemoved(const std::string& key,
                                      StoreRevision revision) {
+  if (IsEvacuationKey(key)) {
+    OnEvacuation(key, false, revision);
+    return;
+  }
   exchange_.RemovePeer(key);
+  UpdateNotifiers();
   rotation_.OnPeerRemoved(deps_.loop.Now(), key);
   LogLine(deps_.log, EventKind::kStateChange, kLogComponent, "entry-removed")
       .Add("key", key)
--- a/tests/fuzz/decoder_fuzz.cc
+++ b/tests/fuzz/decoder_fuzz.cc
@@ -87,11 +87,32 @@
   report.state = schema::TargetState::kReady;
   report.accepted.resize(3);
   report.not_held.resize(2);
+  report.zone.zone = "montreal";
+  report.__isset.zone = true;
   schema::SteeringMessage message;
   message.__set_report(report);
   return message;
 }
 
+schema::SteeringMessage SampleNotice() {
+  schema::ZoneState zone;
+  zone.zone = "montreal";
+  zone.evacuated = true;
+  zone.revision = 1234;
+  zone.era = 3;
+  schema::SlowStartLimit limit;
+  limit.duration_ms = 2500;
+  limit.flows_per_second = 7.5;
+  limit.configuration_version = 9;
+  schema::AgentNotice notice;
+  notice.__set_zone(zone);
+  notice.__set_slow_start(limit);
+  notice.configuration_version = 9;
+  schema::SteeringMessage message;
+  message.__set_notice(notice);
+  return message;
+}
+
 schema::TargetRecord SampleRecord() {
   schema::TargetRecord record;
   record.id = "i-1";
@@ -193,6 +214,11 @@
        [](const auto& input, std::string& /*error*/) {
          return DecodeCompact<schema::SteeringMessage>(input).has_value();
        }});
+  decoders.push_back(
+      {"notice", EncodeCompact(SampleNotice()),
+       [](const auto& input, std::string& /*error*/) {
+         return DecodeCompact<schema::SteeringMessage>(input).has_value();
+       }});
   decoders.push_back(
       {"store entry", EncodeCompact(SampleRecord()),
        [](const auto& input, std::string& /*error*/) {
