--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -65,7 +65,7 @@
         index(index),
         flows(world.scheduler.Now(),
               {AgentAddress(index), world.ServiceOf(index),
-               std::chrono::seconds(60), "zone"},
+               std::chrono::seconds(60), world.ZoneOf(index)},
               world.codec_, *this, world.log_, observer) {}
 
   void ToTarget(std::string_view packet) override {
@@ -114,6 +114,7 @@
                                      const schema::AgentNotice& notice) {
   const size_t to = agent.ip() - AgentAddress(0).ip();
   ++world.notices;
+  if (world.lose_notices) return;
   world.Deliver(kHopDelay, [this, to, notice] {
     Agent* other = world.agents_[to].get();
     if (other == nullptr) return;
@@ -140,6 +141,7 @@
                   world.Record(target, world.draining_.count(target) != 0),
                   StoreRevision(revision));
   }
+  world.ReadZones(flows);
 }
 
 void SteeringWorld::Agent::ToBalancer(const Endpoint& balancer,
@@ -156,6 +158,7 @@
 void SteeringWorld::Agent::Report(const Endpoint& balancer,
                                   const schema::AgentReport& report) {
   ++world.reports;
+  if (report.__isset.zone) ++world.reports_with_zone;
   if (world.lose_reports) return;
   const size_t to = balancer.ip() - BalancerAddress(0).ip();
   world.Deliver(kHopDelay, [this, to, report] {
@@ -200,6 +203,8 @@
   return balancers_[i]->directory;
 }
 
+ZoneEvacuations& SteeringWorld::zones(size_t i) { return balancers_[i]->zones; }
+
 void SteeringWorld::Deliver(Duration delay, std::function<void()> action) {
   scheduler.After(delay, std::move(action));
 }
@@ -225,6 +230,8 @@
 
 void SteeringWorld::StartBalancer(size_t i) {
   balancers_[i] = std::make_unique<Balancer>(*this, i);
+  listed_balancers_.insert(i);
+  ListBalancers();
   balancers_[i]->ReadDirectory();
   balancers_[i]->flows.OnDirectoryRead(scheduler.Now(), scheduler.Now());
 }
@@ -243,7 +250,7 @@
   record.born_ms = targets[i]->starts;
   record.service_name = ServiceOf(i);
   record.agent = AgentAddress(i).Pack();
-  record.zone = "zone";
+  record.zone = ZoneOf(i);
   record.slots = targets[i]->slots;
   record.state =
       draining ? schema::TargetState::kDraining : schema::TargetState::kReady;
@@ -287,6 +294,7 @@
     }
     balancer->directory.Put(scheduler.Now(), std::to_string(i),
                             Record(i, draining), StoreRevision(revision_));
+    balancer->flows.OnAgentListed(scheduler.Now(), AgentAddress(i));
   }
 }
 
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -162,6 +162,21 @@
    * stale.
    */
   void List(size_t i, bool draining = false);
+  /** Moves the target and its agent, which restarts, to another zone. */
+  void SetZone(size_t i, const std::string& zone);
+  /**
+   * Sets or removes an evacuation in the store; balancers get it within
+   * max_watch_delay unless they are stale.
+   */
+  void Evacuate(const std::string& zone);
+  void Restore(const std::string& zone);
+  /** The store comes back from a copy: later revisions are of the next era. */
+  void BeginEra() {
+    ++era_;
+    revision_ = 1;
+  }
+  /** Copies what one balancer knows of the zones to another one. */
+  void CopyZones(size_t from, size_t to);
   VirtualFlowClient& AddClient(bool keeps_flow);
 
   void FromClient(std::string packet);
@@ -184,6 +199,10 @@
   SplitMode split = SplitMode::kOverflow;
   /** While set, all agents' reports are lost. */
   bool lose_reports = false;
+  /** While set, all notices are lost. */
+  bool lose_notices = false;
+  /** Maximum delay of a change of a zone on its way to a balancer. */
+  Duration max_watch_delay{};
   /** Balancers whose watch of the store does not deliver changes. */
   std::set<size_t> stale_balancers;
   /** Number of times a balancer read the directory from the store. */
@@ -198,6 +217,8 @@
   int queries = 0;
   /** Notices of the operators' settings from balancers to agents. */
   int notices = 0;
+  /** Reports that contain the state of a zone. */
+  int reports_with_zone = 0;
   /** Reports from agents, including lost ones. */
   int reports = 0;
 
@@ -206,6 +227,7 @@
   FlowBalancer* balancer(size_t i);
   FlowAgent* agent(size_t i);
   TargetDirectory& directory(size_t i);
+  ZoneEvacuations& zones(size_t i);
 
   ~SteeringWorld();
 
@@ -215,6 +237,11 @@
 
   void Deliver(Duration delay, std::function<void()> action);
   void Tick();
+  /** Tells the running balancers which ones the store lists. */
+  void ListBalancers();
+  void SendZone(const std::string& zone, bool evacuated);
+  /** Applies the evacuations in the store, as after a complete read. */
+  void ReadZones(FlowBalancer& balancer);
   schema::TargetRecord Record(size_t i, bool draining) const;
 
   TestPacketCodec codec_;
@@ -225,10 +252,18 @@
   std::vector<std::unique_ptr<Balancer>> stopped_balancers_;
   std::vector<std::unique_ptr<Agent>> stopped_agents_;
   int64_t revision_ = 1;
+  int64_t era_ = 0;
   std::string ServiceOf(size_t i) const;
+  std::string ZoneOf(size_t i) const;
 
   /** Services of targets that differ from kService. */
   std::map<size_t, std::string> services_;
+  /** Zones of targets that differ from "zone". */
+  std::map<size_t, std::string> zones_;
+  /** Evacuations in the store. */
+  std::map<std::string, StoreRevision> evacuations_;
+  /** Balancers that the store lists; a killed one stays for a while. */
+  std::set<size_t> listed_balancers_;
   std::map<size_t, int64_t> sequences_;
   std::set<size_t> draining_;
   /** Store revisions of the listed entries. */
--- a/tools/soak/run.sh
+++ b/tools/soak/run.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# run.sh SEED SECONDS [PORT] [calm|planned|mixed|returns]: runs the real programs and
+# run.sh SEED SECONDS [PORT] [calm|planned|mixed|returns|evacuate]: runs the real programs and
 # injects faults. calm: no faults. planned: balancers restart, targets drain.
 # mixed: signals, target crashes, packet loss, and faults of the store and of the
 # connections to it. returns: the same, and the store often comes back from a copy
-# of its data. The seed determines the faults and their order; the script
+# of its data. evacuate: an availability zone is evacuated and restored
+# (evacuation.sh). The seed determines the faults and their order; the script
 # prints them if the run fails. BALANCERS, TARGETS and CLIENTS set sizes.
 # Ends only the processes that it started, by their ids.
 set -uo pipefail
@@ -63,11 +64,11 @@
 network() { echo "$2" >"/dev/udp/127.0.0.1/$((PORT + 70 + $1))"; }  # PROXY HOW
 sleep 0.3
 case "$MODE" in
-  calm) WORLD_MODE=(--planned --lost-packets 0 --no-crashes --no-drains) ;;
+  calm | evacuate) WORLD_MODE=(--planned --lost-packets 0 --no-crashes --no-drains) ;;
   planned) WORLD_MODE=(--planned --no-crashes) ;;
   mixed | returns) WORLD_MODE=() ;;
   *)
-    echo "run.sh: unknown mode \"$MODE\"; expected calm, planned, mixed or returns" >&2
+    echo "run.sh: unknown mode \"$MODE\"; expected calm, planned, mixed, returns or evacuate" >&2
     exit 2
     ;;
 esac
@@ -85,7 +86,13 @@
   start "${1%-*}" "${1#*-}"
 }
 end=$((SECONDS + SECONDS_LONG - CALM - 4))
-while [ "$MODE" != calm ] && [ $SECONDS -lt $end ]; do
+plan_status=0
+if [ "$MODE" = evacuate ]; then
+  . "$(dirname "$0")/evacuation.sh"
+  evacuation_plan || plan_status=1
+  [ $SECONDS -lt $end ] || { echo "soak: the plan took longer than the run" && plan_status=1; }
+fi
+while [ "$MODE" != calm ] && [ "$MODE" != evacuate ] && [ $SECONDS -lt $end ]; do
   if [ "$MODE" = planned ]; then
     name="balancer-$((RANDOM % BALANCERS))" fault=TERM
   else
@@ -130,6 +137,7 @@
 curl -s -m 1 -X POST "http://$STORE/control?mode=ok" >/dev/null
 wait $WORLD
 status=$?
+[ $plan_status -eq 0 ] || status=1
 echo "seed $SEED $MODE: $(tail -n 1 "$WORK/world.log")"
 if [ $status -ne 0 ]; then
   [ -f "$WORK/plan.log" ] && cat "$WORK/plan.log"
