--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -28,7 +28,8 @@
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
 
 ReplicaKeys MakeReplicaKeys(const ConfigurationDecoder& decoder) {
-  return {decoder.store_key(), DirectoryKeys::kPrefix};
+  return {decoder.store_key(), DirectoryKeys::kPrefix,
+          decoder.evacuation_prefix()};
 }
 
 InstanceCapacity CapacityOf(const schema::BalancerRecord& record) {
@@ -54,7 +55,7 @@
           MakePlacement(placement.kind, MakeTopology(settings_), directory_)),
       balancer_({MakeTopology(settings_), settings_.flow_lifetime,
                  placement.split, settings_.queue_order},
-                deps.codec, directory_, *placement_, *this, deps.log),
+                deps.codec, directory_, zones_, *placement_, *this, deps.log),
       follower_(deps.store, deps.scheduler, deps.random, deps.log,
                 MakeReplicaKeys(deps.decoder), FollowerOptions(),
                 StoreReadBudget(settings_.store_reads_per_second), *this),
@@ -229,6 +230,10 @@
 
 void BalancerProcess::OnEntry(const std::string& key, const std::string& value,
                               StoreRevision revision) {
+  if (IsEvacuationKey(key)) {
+    OnEvacuation(key, true, revision);
+    return;
+  }
   if (HasPrefix(key, DirectoryKeys::kBalancerPrefix)) {
     const auto record = DecodeCompact<schema::BalancerRecord>(value);
     if (record) OnBalancerEntry(key, *record, revision);
@@ -253,6 +258,7 @@
       .Add("era", revision.era.value())
       .Add("revision", revision.number);
   directory_.Put(deps_.loop.Now(), key, *record, revision);
+  balancer_.OnAgentListed(deps_.loop.Now(), Endpoint::Unpack(record->agent));
 }
 
 void BalancerProcess::OnBalancerEntry(const std::string& key,
@@ -265,6 +271,7 @@
   exchange_.AddPeer(key, Endpoint::Unpack(record.control),
                     Endpoint::Unpack(record.replica));
   rotation_.OnPeerListed(deps_.loop.Now(), key, record.zone);
+  UpdateNotifiers();
   // The first read of a later era returns entries restored from a copy.
   const bool written_since =
       follower_.loaded() && revision.era == follower_.directory_revision().era;
@@ -275,8 +282,13 @@
 
 void BalancerProcess::OnEntryRemoved(const std::string& key,
                                      StoreRevision revision) {
+  if (IsEvacuationKey(key)) {
+    OnEvacuation(key, false, revision);
+    return;
+  }
   exchange_.RemovePeer(key);
   startup_.OnPeerRemoved(key);
+  UpdateNotifiers();
   rotation_.OnPeerRemoved(deps_.loop.Now(), key);
   LogLine(deps_.log, EventKind::kStateChange, kLogComponent, "entry-removed")
       .Add("key", key)
@@ -427,6 +439,9 @@
       {"resets_no_target_total", c.resets_no_target},
       {"resets_overload_total", c.resets_overload},
       {"resets_attempt_over_total", c.resets_attempt_over},
+      {"resets_zones_evacuated_total", c.resets_zones_evacuated},
+      {"zones_evacuated", zones_.EvacuatedCount()},
+      {"notices_sent_total", c.notices},
       {"flows_waited_for_room_total", c.waited_for_room},
       {"resets_nobody_holds_total", c.resets_nobody_holds},
       {"resets_target_gone_total", c.resets_target_gone},
