Resolve searches for lost flows by digests of agents

Cause: after a restart of all processes a balancer searches for the flows of all its clients, and each search queried every agent of the service.

Change: the likely agents are still queried by flow. What they deny, or do not answer in 20 ms, goes into a round of DigestRounds: one query for each of at most 32 agents, at most every 20 ms, shared by all searches. The reply has the hashes of all flows of the target, as of the agent's answer, and denies the flows of the searches that began before the round. A hash that is listed, and an agent without a digest, lead to queries by flow as before. Round numbers on the wire begin at the time of the process's first round, so that a late reply to an earlier process is not taken for one of this process.

A query names one of the waiting flows. An agent that answers for it without a digest cannot give one, and neither can an agent of an earlier version; other reports may have been sent before the query arrived.

--- a/packages/admission/include/admission/syn_queue.h
+++ b/packages/admission/include/admission/syn_queue.h
@@ -69,6 +69,8 @@
 
   bool empty() const { return syns_.empty(); }
   size_t size() const { return syns_.size(); }
+  /** The queued SYNs, in no particular order. */
+  const std::vector<QueuedSyn>& syns() const { return syns_; }
 
  private:
   static Urgency UrgencyOf(const QueuedSyn& syn, TimePoint now);
--- a/packages/flow_location/include/flow_location/flow_locator.h
+++ b/packages/flow_location/include/flow_location/flow_locator.h
@@ -2,14 +2,14 @@
 #define SESAMESADDLE_FLOW_LOCATION_FLOW_LOCATOR_H_
 
 #include <cstdint>
-#include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "core/endpoint.h"
 #include "core/time.h"
+#include "flow_location/digest_rounds.h"
+#include "flow_location/flow_search.h"
 #include "flow_model/packet.h"
 #include "placement/target_directory.h"
 #include "placement/topology.h"
@@ -24,6 +24,14 @@
   /** Asks the agent whether its target holds the flow. */
   virtual void QueryAgent(TimePoint now, AgentView& agent,
                           const Flow& flow) = 0;
+  /**
+   * Asks the agent for a digest of all its flows, and whether its target holds
+   * the flow.
+   * @param number  repeated in the reply
+   */
+  virtual void QueryDigest(TimePoint now, AgentView& agent, const Flow& flow,
+                           int32_t number) = 0;
+  virtual void OnDigestRoundOver(const DigestRoundSummary& round) = 0;
   /**
    * Sends the packet to be delivered only if the agent's target holds its flow.
    */
@@ -39,25 +47,19 @@
   virtual void RefreshDirectory() = 0;
 };
 
-/** The services whose targets may hold a flow. */
-struct SearchScope {
-  /** Services of the route, current ones and recent ones; queried first. */
-  std::vector<std::string> services;
-  /** Targets of any other service may hold the flow as well. */
-  bool any_service = true;
-};
-
 /**
- * Locates the target that holds a flow. Queries the most likely agents first
- * and further ones when those do not answer or do not hold the flow. An agent
- * that is not sure is offered the flow's packets, so that its target decides:
- * only after no agent of its round claims the flow, and a few at a time, as a
- * packet is many times the size of a query. A target that does not hold the
- * flow returns the packet at once, so no further agents are tried while an
- * offer is unanswered. A flow counts as not found only when all agents that may
- * hold it and that were listed when the search began have replied: the holder
- * may have been listed just before, and another balancer may have learned of it
- * sooner.
+ * Locates the target that holds a flow. Queries the most likely agents first.
+ * When those do not answer or do not hold the flow, further ones are asked for
+ * digests, which resolve all searches at once (DigestRounds); agents that give
+ * no digest, and those whose digest has the flow's hash, are queried for the
+ * flow. An agent that is not sure is offered the flow's packets, so that its
+ * target decides: only after no agent of its round claims the flow, and a few
+ * at a time, as a packet is many times the size of a query. A target that does
+ * not hold the flow returns the packet at once, so no further agents are tried
+ * while an offer is unanswered. A flow counts as not found only when all agents
+ * that may hold it and that were listed when the search began have replied: the
+ * holder may have been listed just before, and another balancer may have
+ * learned of it sooner.
  *
  * It answers for the load after a restart of all processes, when each balancer
  * looks up the flows of all its clients and no agent remembers any.
@@ -65,7 +67,7 @@
 class FlowLocator {
  public:
   /** Time allowed for a query and its reply between zones. */
-  static constexpr Duration kRoundTimeout = std::chrono::milliseconds(20);
+  static constexpr Duration kRoundTimeout = DigestRounds::kRoundTimeout;
   /** Time after which an offer that was not returned is taken as lost. */
   static constexpr Duration kOfferTimeout = TargetDirectory::kReplyTimeout;
   /** Maximum number of agents that are offered a flow's packets at once. */
@@ -77,7 +79,7 @@
    */
   static constexpr Duration kQueryRetryDelay = TargetDirectory::kReplyTimeout;
   /** Maximum number of agents queried per round. */
-  static constexpr size_t kAgentsPerRound = 32;
+  static constexpr size_t kAgentsPerRound = DigestRounds::kAgentsPerRound;
   /** Maximum number of packets buffered per flow; later ones are dropped. */
   static constexpr size_t kMaxBufferedPackets = 16;
   /** An unfinished search is dropped after this; the client retransmits. */
@@ -111,6 +113,9 @@
   void OnUnsure(TimePoint now, const Flow& flow, const Endpoint& agent);
   /** Handles an agent's reply that its target doesn't hold the flow. */
   void OnNotHeld(TimePoint now, const Flow& flow, const Endpoint& agent);
+  /** Handles the digest of a report, after the report's lists of flows. */
+  void OnReport(TimePoint now, const Endpoint& agent,
+                const schema::AgentReport& report);
   /**
    * Called when the directory holds all entries that the store listed at
    * `as_of` or later.
@@ -120,56 +125,67 @@
   void OnTick(TimePoint now);
 
   bool idle() const { return searches_.empty(); }
+  const DigestRoundCounters& digest_counters() const {
+    return digest_rounds_.counters();
+  }
+  /** Returns the number of flows that digests have shown to be nowhere. */
+  int64_t resolved_by_digest() const { return resolved_by_digest_; }
 
  private:
-  struct QueryState {
-    int queries = 0;
-    TimePoint next_query{};
-  };
-  struct SearchState {
-    std::vector<std::string> packets;
-    SearchScope scope;
-    /** Agents queried so far. */
-    std::map<Endpoint, QueryState> queried;
-    std::set<Endpoint> ruled_out;
-    /** Agents that are not sure, in the order of their replies. */
-    std::vector<Endpoint> unsure;
-    /** Unsure agents that were offered the packets, and when. */
-    std::map<Endpoint, TimePoint> offered;
-    uint32_t acknowledged = 0;
-    TimePoint started{};
-    TimePoint next_round{};
-  };
+  using SearchMap = std::unordered_map<Flow, FlowSearch>;
 
-  void StartRound(TimePoint now, const Flow& flow, SearchState& search,
+  void StartRound(TimePoint now, const Flow& flow, FlowSearch& search,
                   const std::vector<AgentView*>& agents);
+  /** Asks the other agents for digests, or for this flow. */
+  void QueryFurtherAgents(TimePoint now, const Flow& flow, FlowSearch& search);
+  static void RecordQuery(TimePoint now, FlowSearch& search,
+                          const Endpoint& agent);
   /**
-   * Returns the agents to query in the next round: those not queried yet, and
-   * those whose reply is overdue.
+   * Returns the agents to query for this flow, as digests cannot rule them out:
+   * those not queried yet, and those whose reply is overdue.
    */
   std::vector<AgentView*> SelectNextAgents(TimePoint now, const Flow& flow,
-                                           const SearchState& search);
-  bool AllRuledOut(const SearchState& search);
+                                           const FlowSearch& search);
+  /** Whether the agent has denied the flow, by itself or by a digest. */
+  bool IsDenied(const FlowSearch& search, const Endpoint& agent) const;
+  bool AllRuledOut(const Flow& flow, FlowSearch& search);
+  /** Like AllRuledOut, for some agents; begins at a position for the flow. */
+  bool AllDenied(const Flow& flow, FlowSearch& search,
+                 const std::vector<AgentView*>& agents) const;
   /**
    * Ends the search if all agents in scope are ruled out.
    * @return whether the search has ended
    */
   bool ConcludeIfNotFound(TimePoint now, const Flow& flow);
   /** Offers the packets or starts the next round, if either is due. */
-  void Advance(TimePoint now, const Flow& flow, SearchState& search);
+  void Advance(TimePoint now, const Flow& flow, FlowSearch& search);
+  /** Starts a round of digests if one is due and any search waits for it. */
+  void StartDigestRound(TimePoint now);
+  /** Advances all searches if the round is over. */
+  void EndDigestRound(TimePoint now);
+  /** Concludes or advances each search. */
+  void AdvanceAll(TimePoint now);
+  /** Queries the agent for the flows whose hashes are in its digest. */
+  void QueryListedFlows(TimePoint now, const Endpoint& agent, int64_t round,
+                        const std::vector<int32_t>& hashes);
+  SearchMap::iterator Erase(SearchMap::iterator it);
   /** Whether an offer may still be answered. */
-  static bool AwaitsOffer(TimePoint now, const SearchState& search);
+  static bool AwaitsOffer(TimePoint now, const FlowSearch& search);
   /** Whether an agent of the round may still reply. */
-  static bool AwaitsReply(TimePoint now, const SearchState& search);
+  bool AwaitsReply(TimePoint now, const FlowSearch& search) const;
   /** Offers the packets to unsure agents; returns false if there are none. */
-  bool OfferToUnsure(TimePoint now, SearchState& search);
+  bool OfferToUnsure(TimePoint now, FlowSearch& search);
 
   Topology topology_;
   TargetDirectory& directory_;
   FlowLocatorOutput& output_;
   /** Time of the store's state that the directory is known to contain. */
   TimePoint directory_as_of_{};
-  std::unordered_map<Flow, SearchState> searches_;
+  SearchMap searches_;
+  /** Flows of the searches by their hash in digests. */
+  std::unordered_multimap<int32_t, Flow> flows_by_hash_;
+  DigestRounds digest_rounds_;
+  int64_t resolved_by_digest_ = 0;
 };
 
 }  // namespace sesamesaddle
--- a/packages/flow_location/src/flow_locator.cc
+++ b/packages/flow_location/src/flow_locator.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "placement/placement.h"
+#include "schema/flow_key.h"
 
 namespace sesamesaddle {
 namespace {
@@ -11,10 +12,6 @@
 // Bounds the backoff of queries within the time of a search.
 constexpr int kMaxBackoffDoublings = 3;
 
-bool Contains(const std::vector<Endpoint>& list, const Endpoint& agent) {
-  return std::find(list.begin(), list.end(), agent) != list.end();
-}
-
 }  // namespace
 
 void FlowLocator::Search(TimePoint now, const Flow& flow,
@@ -23,12 +20,14 @@
                          const std::vector<Endpoint>& likely_holders,
                          const std::vector<Endpoint>& ruled_out) {
   const auto [it, added] = searches_.try_emplace(flow);
-  SearchState& search = it->second;
+  FlowSearch& search = it->second;
   search.acknowledged = header.acknowledged;
   for (const Endpoint& agent : ruled_out) search.ruled_out.insert(agent);
   if (added) {
     search.started = now;
     search.scope = scope;
+    search.first_digest_round = digest_rounds_.next_round();
+    flows_by_hash_.emplace(DigestHash(flow), flow);
   } else {
     // Targets that were offered packets of the flow get this one too.
     for (const auto& [agent, offered_at] : search.offered) {
@@ -52,33 +51,48 @@
       if (search.ruled_out.count(view->agent) == 0) first.push_back(view);
     }
   }
-  if (first.empty()) first = SelectNextAgents(now, flow, search);
-  StartRound(now, flow, search, first);
+  if (first.empty()) {
+    QueryFurtherAgents(now, flow, search);
+  } else {
+    StartRound(now, flow, search, first);
+  }
+}
+
+void FlowLocator::QueryFurtherAgents(TimePoint now, const Flow& flow,
+                                     FlowSearch& search) {
+  search.by_digest = true;
+  StartRound(now, flow, search, SelectNextAgents(now, flow, search));
+  StartDigestRound(now);
 }
 
 void FlowLocator::StartRound(TimePoint now, const Flow& flow,
-                             SearchState& search,
+                             FlowSearch& search,
                              const std::vector<AgentView*>& agents) {
   search.next_round = now + kRoundTimeout;
   for (AgentView* view : agents) {
-    QueryState& query = search.queried[view->agent];
-    query.next_query = now + kQueryRetryDelay * (1 << query.queries);
-    query.queries = std::min(query.queries + 1, kMaxBackoffDoublings);
+    RecordQuery(now, search, view->agent);
     output_.QueryAgent(now, *view, flow);
   }
 }
 
+void FlowLocator::RecordQuery(TimePoint now, FlowSearch& search,
+                              const Endpoint& agent) {
+  FlowQueryState& query = search.queried[agent];
+  query.next_query = now + kQueryRetryDelay * (1 << query.queries);
+  query.queries = std::min(query.queries + 1, kMaxBackoffDoublings);
+}
+
 void FlowLocator::OnUnsure(TimePoint now, const Flow& flow,
                            const Endpoint& agent) {
   const auto it = searches_.find(flow);
   if (it == searches_.end()) return;
-  SearchState& search = it->second;
-  if (Contains(search.unsure, agent)) return;
+  FlowSearch& search = it->second;
+  if (search.IsUnsure(agent)) return;
   search.unsure.push_back(agent);
   Advance(now, flow, search);
 }
 
-bool FlowLocator::AwaitsOffer(TimePoint now, const SearchState& search) {
+bool FlowLocator::AwaitsOffer(TimePoint now, const FlowSearch& search) {
   return std::any_of(search.offered.begin(), search.offered.end(),
                      [now, &search](const auto& offer) {
                        return search.ruled_out.count(offer.first) == 0 &&
@@ -86,16 +100,20 @@
                      });
 }
 
-bool FlowLocator::AwaitsReply(TimePoint now, const SearchState& search) {
+bool FlowLocator::AwaitsReply(TimePoint now, const FlowSearch& search) const {
+  if (search.by_digest && digest_rounds_.InProgress() &&
+      search.first_digest_round <= digest_rounds_.round()) {
+    return true;
+  }
   if (now >= search.next_round) return false;
   return std::any_of(search.queried.begin(), search.queried.end(),
-                     [&search](const auto& query) {
-                       return search.ruled_out.count(query.first) == 0 &&
-                              !Contains(search.unsure, query.first);
+                     [this, &search](const auto& query) {
+                       return !IsDenied(search, query.first) &&
+                              !search.IsUnsure(query.first);
                      });
 }
 
-bool FlowLocator::OfferToUnsure(TimePoint now, SearchState& search) {
+bool FlowLocator::OfferToUnsure(TimePoint now, FlowSearch& search) {
   size_t offers = 0;
   for (const Endpoint& agent : search.unsure) {
     AgentView* view = directory_.Find(agent);
@@ -110,33 +128,30 @@
   return offers > 0;
 }
 
-void FlowLocator::Advance(TimePoint now, const Flow& flow,
-                          SearchState& search) {
+void FlowLocator::Advance(TimePoint now, const Flow& flow, FlowSearch& search) {
   if (AwaitsOffer(now, search) || AwaitsReply(now, search)) return;
   if (OfferToUnsure(now, search)) return;
-  StartRound(now, flow, search, SelectNextAgents(now, flow, search));
+  QueryFurtherAgents(now, flow, search);
 }
 
 std::vector<AgentView*> FlowLocator::SelectNextAgents(
-    TimePoint now, const Flow& flow, const SearchState& search) {
-  const auto open = [now, &search](const AgentView* view) {
-    if (search.ruled_out.count(view->agent) != 0) return false;
-    // It has replied, and its target decides.
-    if (Contains(search.unsure, view->agent)) return false;
-    const auto query = search.queried.find(view->agent);
-    return query == search.queried.end() || now >= query->second.next_query;
-  };
+    TimePoint now, const Flow& flow, const FlowSearch& search) {
   std::vector<AgentView*> next;
-  for (const std::string& service : search.scope.services) {
-    for (AgentView* view : directory_.OfService(service)) {
-      if (open(view)) next.push_back(view);
-    }
-  }
-  if (next.empty() && search.scope.any_service) {
-    for (AgentView* view : directory_.All()) {
-      if (open(view)) next.push_back(view);
+  std::vector<AgentView*> others;
+  const auto consider = [&](const Endpoint& agent) {
+    AgentView* view = directory_.Find(agent);
+    // The target of an unsure agent decides.
+    if (view == nullptr || IsDenied(search, agent) || search.IsUnsure(agent) ||
+        search.AwaitsReplyOf(now, agent)) {
+      return;
     }
+    (search.scope.InServices(*view) ? next : others).push_back(view);
+  };
+  for (const Endpoint& agent : search.listed) consider(agent);
+  for (const Endpoint& agent : digest_rounds_.agents_without_digest()) {
+    if (search.listed.count(agent) == 0) consider(agent);
   }
+  if (next.empty() && search.scope.any_service) next = std::move(others);
   const uint64_t seed = HashFlow(flow);
   std::sort(next.begin(), next.end(), [seed](auto* a, auto* b) {
     return (static_cast<uint64_t>(a->agent.Pack()) ^ seed) <
@@ -154,7 +169,7 @@
   if (it->second.offered.count(holder) == 0) {
     packets = std::move(it->second.packets);
   }
-  searches_.erase(it);
+  Erase(it);
   return packets;
 }
 
@@ -162,21 +177,32 @@
                             const Endpoint& agent) {
   const auto it = searches_.find(flow);
   if (it == searches_.end()) return;
-  SearchState& search = it->second;
+  FlowSearch& search = it->second;
   search.ruled_out.insert(agent);
   if (!ConcludeIfNotFound(now, flow)) Advance(now, flow, search);
 }
 
+FlowLocator::SearchMap::iterator FlowLocator::Erase(SearchMap::iterator it) {
+  const auto range = flows_by_hash_.equal_range(DigestHash(it->first));
+  for (auto entry = range.first; entry != range.second; ++entry) {
+    if (!(entry->second == it->first)) continue;
+    flows_by_hash_.erase(entry);
+    break;
+  }
+  return searches_.erase(it);
+}
+
 bool FlowLocator::ConcludeIfNotFound(TimePoint now, const Flow& flow) {
   const auto it = searches_.find(flow);
-  const SearchState& search = it->second;
-  if (!AllRuledOut(search)) return false;
+  FlowSearch& search = it->second;
+  if (!AllRuledOut(flow, search)) return false;
   if (directory_as_of_ < search.started) {
     output_.RefreshDirectory();
     return false;
   }
   const uint32_t acknowledged = search.acknowledged;
-  searches_.erase(it);
+  if (search.denied_by_digest) ++resolved_by_digest_;
+  Erase(it);
   output_.OnFlowNotFound(now, flow, acknowledged);
   return true;
 }
@@ -184,7 +210,12 @@
 void FlowLocator::OnDirectoryRead(TimePoint now, TimePoint as_of) {
   if (as_of <= directory_as_of_) return;
   directory_as_of_ = as_of;
+  AdvanceAll(now);
+}
+
+void FlowLocator::AdvanceAll(TimePoint now) {
   std::vector<Flow> flows;
+  flows.reserve(searches_.size());
   for (const auto& [flow, search] : searches_) flows.push_back(flow);
   for (const Flow& flow : flows) {
     if (!ConcludeIfNotFound(now, flow)) {
@@ -193,37 +224,66 @@
   }
 }
 
-bool FlowLocator::AllRuledOut(const SearchState& search) {
-  const auto is_ruled_out = [&search](const AgentView* view) {
-    return search.ruled_out.count(view->agent) != 0;
-  };
+bool FlowLocator::IsDenied(const FlowSearch& search,
+                           const Endpoint& agent) const {
+  if (search.ruled_out.count(agent) != 0) return true;
+  return digest_rounds_.HasDigestSince(agent, search.first_digest_round) &&
+         search.listed.count(agent) == 0;
+}
+
+bool FlowLocator::AllRuledOut(const Flow& flow, FlowSearch& search) {
+  if (search.undecided) {
+    const AgentView* view = directory_.Find(*search.undecided);
+    const bool in_scope = view != nullptr && (search.scope.any_service ||
+                                              search.scope.InServices(*view));
+    if (in_scope && !IsDenied(search, view->agent)) return false;
+  }
+  search.undecided.reset();
+  search.denied_by_digest = false;
   if (search.scope.any_service) {
-    if (search.ruled_out.size() < directory_.size()) return false;
-    const std::vector<AgentView*> all = directory_.All();
-    return std::all_of(all.begin(), all.end(), is_ruled_out);
+    return AllDenied(flow, search, directory_.All());
   }
   return std::all_of(search.scope.services.begin(), search.scope.services.end(),
                      [&](const std::string& service) {
-                       const auto& agents = directory_.OfService(service);
-                       return std::all_of(agents.begin(), agents.end(),
-                                          is_ruled_out);
+                       return AllDenied(flow, search,
+                                        directory_.OfService(service));
                      });
 }
 
+bool FlowLocator::AllDenied(const Flow& flow, FlowSearch& search,
+                            const std::vector<AgentView*>& agents) const {
+  // Agents are queried in their order. Beginning elsewhere finds one that is
+  // queried late, so that few checks have to look at all agents.
+  const size_t begin = agents.empty() ? 0 : HashFlow(flow) % agents.size();
+  for (size_t i = 0; i < agents.size(); ++i) {
+    const Endpoint& agent = agents[(begin + i) % agents.size()]->agent;
+    if (!IsDenied(search, agent)) {
+      search.undecided = agent;
+      return false;
+    }
+    if (search.ruled_out.count(agent) == 0) search.denied_by_digest = true;
+  }
+  return true;
+}
+
 void FlowLocator::OnTick(TimePoint now) {
+  digest_rounds_.ExpireWithoutDigest(now);
+  EndDigestRound(now);
   for (auto it = searches_.begin(); it != searches_.end();) {
-    SearchState& search = it->second;
+    FlowSearch& search = it->second;
     if (now - search.started > kSearchTimeout) {
-      it = searches_.erase(it);
+      it = Erase(it);
       continue;
     }
     if (now >= search.next_round) {
+      search.by_digest = true;
       StartRound(now, it->first, search,
                  SelectNextAgents(now, it->first, search));
-      if (AllRuledOut(search)) output_.RefreshDirectory();
+      if (AllRuledOut(it->first, search)) output_.RefreshDirectory();
     }
     ++it;
   }
+  StartDigestRound(now);
 }
 
 }  // namespace sesamesaddle
--- a/packages/schema/include/schema/flow_key.h
+++ b/packages/schema/include/schema/flow_key.h
@@ -1,6 +1,8 @@
 #ifndef SESAMESADDLE_SCHEMA_FLOW_KEY_H_
 #define SESAMESADDLE_SCHEMA_FLOW_KEY_H_
 
+#include <cstdint>
+
 #include "core/endpoint.h"
 #include "messages_types.h"
 
@@ -10,6 +12,8 @@
 schema::FlowKey ToKey(const Flow& flow);
 /** Converts a flow from its form in messages. */
 Flow FromKey(const schema::FlowKey& key);
+/** Returns the flow's hash in a FlowDigest. */
+int32_t DigestHash(const Flow& flow);
 
 }  // namespace sesamesaddle
 
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -137,7 +137,8 @@
 struct FlowQuery {
   1: required list<messages.FlowKey> flows
   // Asks for a digest of all flows; the reply repeats this number. Numbers of a
-  // balancer increase, starting at 1.
+  // balancer increase by serial number arithmetic (RFC 1982); a process begins
+  // where no earlier one at its address was, as late replies may still arrive.
   2: optional i32 digest_query
 }
 
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -65,6 +65,10 @@
   int64_t resets_recalled = 0;
   int64_t malformed = 0;
   int64_t reports = 0;
+  /** Digests sent in reports. */
+  int64_t digests = 0;
+  /** Queries for a digest that was not given. */
+  int64_t digests_left_out = 0;
   /** Number of times the target started to fail requests. */
   int64_t failing = 0;
 };
@@ -119,6 +123,13 @@
   static constexpr Duration kEndedFlowRetention = std::chrono::seconds(4);
   /** Maximum number of flows in each list of a report. */
   static constexpr size_t kMaxFlowsPerReport = 40;
+  /** Maximum number of flows in a digest. */
+  static constexpr size_t kMaxDigestFlows = 250;
+  /**
+   * Maximum size of a digest's hashes, of up to five bytes each, so that a
+   * report without many flows fits a packet of the network.
+   */
+  static constexpr size_t kMaxDigestBytes = 1200;
   /** Flows younger than this are not recorded; most end with their request. */
   static constexpr Duration kMinRecordedAge = std::chrono::milliseconds(500);
   /** Maximum number of flows in a record; about 25 bytes each. */
@@ -235,6 +246,8 @@
     std::vector<Flow> held;
     std::vector<Flow> not_held;
     std::vector<Flow> unsure;
+    /** Number of the latest query for a digest that has no reply yet. */
+    std::optional<int32_t> digest_query;
 
     /** Whether there are flows to tell the balancer about. */
     bool HasReplies() const {
@@ -250,6 +263,14 @@
   };
   using FlowMap = std::unordered_map<Flow, FlowEntry>;
 
+  /**
+   * Returns the hashes of all flows of the target, or nothing if this process
+   * may not know them all or they do not fit a report.
+   */
+  std::optional<std::vector<int32_t>> DigestFlows(TimePoint now) const;
+  /** Adds a digest to the report if the balancer has asked for one. */
+  void AddDigest(TimePoint now, BalancerState& balancer_state,
+                 schema::AgentReport& report);
   void OnSyn(TimePoint now, const Endpoint& balancer,
              const PacketHeader& header, char* packet, size_t size);
   void OpenFlow(TimePoint now, const Endpoint& balancer, const Flow& flow,
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -149,6 +149,13 @@
 
   const RouteTable& routes() const { return routes_; }
   const FlowBalancerCounters& counters() const { return counters_; }
+  const DigestRoundCounters& digest_counters() const {
+    return locator_.digest_counters();
+  }
+  /** Returns the number of lost flows for which digests spared queries. */
+  int64_t flows_resolved_by_digest() const {
+    return locator_.resolved_by_digest();
+  }
   /** Returns the report period that agents are asked for. */
   Duration report_period() const { return report_rate_.period(); }
   size_t flow_count() const { return flows_.size(); }
@@ -269,6 +276,9 @@
   void OnHolderFound(TimePoint now, const Flow& flow, AgentView& agent);
   void Reset(const Flow& flow, uint32_t acknowledged, std::string_view reason);
   void QueryAgent(TimePoint now, AgentView& agent, const Flow& flow) override;
+  void QueryDigest(TimePoint now, AgentView& agent, const Flow& flow,
+                   int32_t number) override;
+  void OnDigestRoundOver(const DigestRoundSummary& round) override;
   void OfferPacket(TimePoint now, AgentView& agent,
                    std::string packet) override;
   void OnFlowNotFound(TimePoint now, const Flow& flow,
@@ -289,8 +299,8 @@
   bool store_current_ = false;
   FlowMap flows_;
   std::unordered_map<Flow, PendingSyn> pending_syns_;
-  /** Pending queries by agent. */
-  std::map<Endpoint, std::vector<schema::FlowKey>> queries_;
+  /** Pending queries by agent; sent in parts if they name many flows. */
+  std::map<Endpoint, schema::FlowQuery> queries_;
   TimePoint last_queries_{};
   /** Agents that were probed and have not answered since. */
   std::set<Endpoint> suspects_;
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -82,25 +82,6 @@
   }
 }
 
-void FlowAgent::OnQuery(TimePoint now, const Endpoint& balancer,
-                        const schema::FlowQuery& query) {
-  BalancerState& balancer_state = RecordUrgentContact(now, balancer);
-  for (const schema::FlowKey& key : query.flows) {
-    const Flow flow = FromKey(key);
-    const auto it = flows_.find(flow);
-    if (it == flows_.end()) {
-      const bool sure = target_monitor_.gone() || TracksAllFlows(now);
-      (sure ? balancer_state.not_held : balancer_state.unsure).push_back(flow);
-    } else if (it->second.state == FlowState::kOpen) {
-      balancer_state.held.push_back(flow);
-    } else {
-      // The SYN may have reached two targets; the flow's next packet shows
-      // which one holds it.
-      balancer_state.unsure.push_back(flow);
-    }
-  }
-}
-
 void FlowAgent::OnSyn(TimePoint now, const Endpoint& balancer,
                       const PacketHeader& header, char* packet, size_t size) {
   ++counters_.syns;
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -138,6 +138,7 @@
   report.not_held = TakeKeys(balancer_state.not_held, kMaxFlowsPerReport);
   report.unsure = TakeKeys(balancer_state.unsure, kMaxFlowsPerReport);
   report.__set_failing(failing_);
+  AddDigest(now, balancer_state, report);
   report.restarting = stopping_ && !target_monitor_.gone();
   balancer_state.packets_since_report = false;
   balancer_state.report_owed = false;
--- a/packages/steering/src/flow_balancer_agents.cc
+++ b/packages/steering/src/flow_balancer_agents.cc
@@ -100,16 +100,36 @@
 void FlowBalancer::QueryAgent(TimePoint now, AgentView& agent,
                               const Flow& flow) {
   TargetDirectory::RecordReportRequest(now, agent);
-  queries_[agent.agent].push_back(ToKey(flow));
+  queries_[agent.agent].flows.push_back(ToKey(flow));
+}
+
+void FlowBalancer::QueryDigest(TimePoint now, AgentView& agent,
+                               const Flow& flow, int32_t number) {
+  QueryAgent(now, agent, flow);
+  queries_[agent.agent].__set_digest_query(number);
+}
+
+void FlowBalancer::OnDigestRoundOver(const DigestRoundSummary& round) {
+  LogLine(log_, EventKind::kFlowLookup, kLogComponent, "digest-round")
+      .Add("round", round.round)
+      .Add("flows", round.searches)
+      .Add("agents", round.agents)
+      .Add("digests", round.digests)
+      .Add("without_digest", round.without_digest)
+      .Add("took", round.took);
 }
 
 void FlowBalancer::FlushQueries(TimePoint now) {
   if (queries_.empty() || now - last_queries_ < kQueryPeriod) return;
   last_queries_ = now;
-  for (const auto& [agent, keys] : queries_) {
+  for (const auto& [agent, pending] : queries_) {
+    const std::vector<schema::FlowKey>& keys = pending.flows;
     size_t sent = 0;
     do {
       schema::FlowQuery query;
+      if (sent == 0 && pending.__isset.digest_query) {
+        query.__set_digest_query(pending.digest_query);
+      }
       const size_t end = std::min(keys.size(), sent + kMaxFlowsPerQuery);
       query.flows.assign(keys.begin() + static_cast<ptrdiff_t>(sent),
                          keys.begin() + static_cast<ptrdiff_t>(end));
@@ -141,6 +161,7 @@
   for (const auto& key : report.not_held) {
     locator_.OnNotHeld(now, FromKey(key), agent->agent);
   }
+  locator_.OnReport(now, agent->agent, report);
 }
 
 schema::AgentNotice FlowBalancer::MakeNotice(const AgentView& /*agent*/) const {
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -327,6 +327,8 @@
       {"malformed_packets_total", c.malformed},
       {"malformed_control_total", malformed_control_},
       {"reports_total", c.reports},
+      {"digests_sent_total", c.digests},
+      {"digests_left_out_total", c.digests_left_out},
       {"target_failing", agent_.failing() ? 1 : 0},
       {"target_failing_total", c.failing},
       {"announcements_total", announcements_},
