Tests of searches with digests, on the virtual clock

Rounds start after all flows of a report are handled, and after all searches were advanced at the end of a round, so that offers to unsure agents are not kept waiting by the next round.

Tests: flow_location_test, steering_test pass.

--- a/packages/flow_location/src/flow_locator.cc
+++ b/packages/flow_location/src/flow_locator.cc
@@ -56,13 +56,13 @@
   } else {
     StartRound(now, flow, search, first);
   }
+  StartDigestRound(now);
 }
 
 void FlowLocator::QueryFurtherAgents(TimePoint now, const Flow& flow,
                                      FlowSearch& search) {
   search.by_digest = true;
   StartRound(now, flow, search, SelectNextAgents(now, flow, search));
-  StartDigestRound(now);
 }
 
 void FlowLocator::StartRound(TimePoint now, const Flow& flow,
@@ -90,6 +90,7 @@
   if (search.IsUnsure(agent)) return;
   search.unsure.push_back(agent);
   Advance(now, flow, search);
+  StartDigestRound(now);
 }
 
 bool FlowLocator::AwaitsOffer(TimePoint now, const FlowSearch& search) {
@@ -180,6 +181,7 @@
   FlowSearch& search = it->second;
   search.ruled_out.insert(agent);
   if (!ConcludeIfNotFound(now, flow)) Advance(now, flow, search);
+  StartDigestRound(now);
 }
 
 FlowLocator::SearchMap::iterator FlowLocator::Erase(SearchMap::iterator it) {
@@ -211,6 +213,7 @@
   if (as_of <= directory_as_of_) return;
   directory_as_of_ = as_of;
   AdvanceAll(now);
+  StartDigestRound(now);
 }
 
 void FlowLocator::AdvanceAll(TimePoint now) {
--- a/packages/flow_location/src/flow_locator_digests.cc
+++ b/packages/flow_location/src/flow_locator_digests.cc
@@ -37,6 +37,7 @@
   EndDigestRound(now);
   // A digest that arrives after its round may be the last one needed.
   if (round && !in_progress) AdvanceAll(now);
+  StartDigestRound(now);
 }
 
 void FlowLocator::QueryListedFlows(TimePoint now, const Endpoint& agent,
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "schema/codec.h"
+
 namespace sesamesaddle {
 namespace {
 
@@ -102,9 +104,18 @@
                                     const schema::FlowQuery& query) {
   const size_t to = agent.ip() - AgentAddress(0).ip();
   ++world.queries;
-  world.Deliver(kHopDelay, [this, to, query] {
+  if (world.count_bytes) {
+    schema::SteeringMessage message;
+    message.__set_query(query);
+    world.query_bytes += EncodeCompact(message).size();
+  }
+  if (world.lose_queries) return;
+  world.Deliver(kHopDelay, [this, to, query = query]() mutable {
     Agent* other = world.agents_[to].get();
     if (other == nullptr) return;
+    if (world.agents_without_digests.count(to) != 0) {
+      query.__isset.digest_query = false;
+    }
     other->flows.OnQuery(world.scheduler.Now(), BalancerAddress(index), query);
   });
 }
@@ -155,9 +166,14 @@
 void SteeringWorld::Agent::Report(const Endpoint& balancer,
                                   const schema::AgentReport& report) {
   ++world.reports;
+  if (world.count_bytes) {
+    schema::SteeringMessage message;
+    message.__set_report(report);
+    world.report_bytes += EncodeCompact(message).size();
+  }
   if (world.lose_reports) return;
   const size_t to = balancer.ip() - BalancerAddress(0).ip();
-  world.Deliver(kHopDelay, [this, to, report] {
+  world.Deliver(kHopDelay + world.report_delay, [this, to, report] {
     Balancer* other = world.balancers_[to].get();
     if (other != nullptr) other->flows.OnReport(world.scheduler.Now(), report);
   });
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -184,6 +184,14 @@
   SplitMode split = SplitMode::kOverflow;
   /** While set, all agents' reports are lost. */
   bool lose_reports = false;
+  /** While set, all balancers' queries are lost. */
+  bool lose_queries = false;
+  /** Additional delay of reports, as on a full link. */
+  Duration report_delay{};
+  /** Agents of a version that ignores queries for digests. */
+  std::set<size_t> agents_without_digests;
+  /** While set, the bytes of queries and reports are counted. */
+  bool count_bytes = false;
   /** Balancers whose watch of the store does not deliver changes. */
   std::set<size_t> stale_balancers;
   /** Number of times a balancer read the directory from the store. */
@@ -200,6 +208,9 @@
   int notices = 0;
   /** Reports from agents, including lost ones. */
   int reports = 0;
+  /** Payloads of these messages while they are counted. */
+  size_t query_bytes = 0;
+  size_t report_bytes = 0;
 
   struct Balancer;
   struct Agent;
