--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -165,6 +165,7 @@
   report.unsure = TakeKeys(balancer_state.unsure, kMaxFlowsPerReport);
   report.__set_failing(failing_);
   if (const auto zone = zones_.Message(options_.zone)) report.__set_zone(*zone);
+  AddDigest(now, balancer_state, report);
   report.restarting = stopping_ && !target_monitor_.gone();
   balancer_state.packets_since_report = false;
   balancer_state.report_owed = false;
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -206,6 +206,14 @@
   bool lose_notices = false;
   /** Maximum delay of a change of a zone on its way to a balancer. */
   Duration max_watch_delay{};
+  /** While set, all balancers' queries are lost. */
+  bool lose_queries = false;
+  /** Additional delay of reports, as on a full link. */
+  Duration report_delay{};
+  /** Agents of a version that ignores queries for digests. */
+  std::set<size_t> agents_without_digests;
+  /** While set, the bytes of queries and reports are counted. */
+  bool count_bytes = false;
   /** Balancers whose watch of the store does not deliver changes. */
   std::set<size_t> stale_balancers;
   /** Number of times a balancer read the directory from the store. */
@@ -224,6 +232,9 @@
   int reports_with_zone = 0;
   /** Reports from agents, including lost ones. */
   int reports = 0;
+  /** Payloads of these messages while they are counted. */
+  size_t query_bytes = 0;
+  size_t report_bytes = 0;
 
   struct Balancer;
   struct Agent;
