--- a/packages/command/include/command/command.h
+++ b/packages/command/include/command/command.h
@@ -12,7 +12,15 @@
 namespace sesamesaddle {
 
 /** The kind of objects that a query lists. */
-enum class Subject { kServices, kTargets, kBalancers, kFlows, kChanges };
+enum class Subject {
+  kServices,
+  kTargets,
+  kBalancers,
+  kFlows,
+  kChanges,
+  kZones,
+  kLoad
+};
 
 enum class Comparison { kEqual, kNotEqual, kLess, kGreater, kMatches };
 
--- a/packages/command/src/command.cc
+++ b/packages/command/src/command.cc
@@ -19,7 +19,9 @@
     "drain instance NAME\n"
     "restore instance NAME\n"
     "retire instance NAME\n"
-    "show services|targets|balancers|flows|changes\n"
+    "evacuate zone NAME\n"
+    "restore zone NAME\n"
+    "show services|targets|balancers|flows|changes|zones|load\n"
     "    [where COLUMN =|!=|<|>|~ VALUE [and ...]]\n"
     "help\n"
     "TIME is a number with ms, s or m, such as 500ms or 10s. PATTERN may hold\n"
@@ -27,6 +29,9 @@
 
 namespace {
 
+constexpr char kSubjects[] =
+    "services, targets, balancers, flows, changes, zones or load";
+
 struct Token {
   std::string text;
   size_t column = 1;
@@ -105,9 +110,8 @@
     if (verb.text == "drain") {
       return ParseInstanceMode(schema::InstanceMode::kDraining);
     }
-    if (verb.text == "restore") {
-      return ParseInstanceMode(schema::InstanceMode::kServing);
-    }
+    if (verb.text == "restore") return ParseRestore();
+    if (verb.text == "evacuate") return ParseZoneMode(true);
     if (verb.text == "retire") {
       return ParseInstanceMode(schema::InstanceMode::kRetired);
     }
@@ -117,7 +121,7 @@
         verb.column,
         "unknown command \"" + verb.text +
             "\"; expected create, change, remove, allow, deny, drain, "
-            "restore, retire, show or help");
+            "restore, retire, evacuate, show or help");
   }
 
   Result<Command> ParseCreate() {
@@ -220,16 +224,36 @@
         });
   }
 
+  Result<Command> ParseRestore() {
+    if (Peek().text == "zone" && !Peek().quoted) return ParseZoneMode(false);
+    if (Peek().text != "instance" || Peek().quoted) {
+      return MakeError(CurrentColumn(), "expected instance or zone");
+    }
+    return ParseInstanceMode(schema::InstanceMode::kServing);
+  }
+
+  Result<Command> ParseZoneMode(bool evacuated) {
+    return ExpectKeyword("zone")
+        .and_then([&] { return NextToken("an availability zone"); })
+        .map([evacuated](const Token& zone) {
+          schema::SetZoneMode set;
+          set.zone = zone.text;
+          set.evacuated = evacuated;
+          schema::Change change;
+          change.__set_set_zone_mode(set);
+          return Command(change);
+        });
+  }
+
   Result<Command> ParseShow() {
     Query query;
-    return NextToken("services, targets, balancers, flows or changes")
+    return NextToken(kSubjects)
         .and_then([&](const Token& token) -> Result<void> {
           const auto subject = ParseSubject(token.text);
           if (!subject) {
-            return MakeError(token.column,
-                             "expected services, targets, balancers, flows or "
-                             "changes, not \"" +
-                                 token.text + "\"");
+            return MakeError(token.column, std::string("expected ") +
+                                               kSubjects + ", not \"" +
+                                               token.text + "\"");
           }
           query.subject = *subject;
           if (AtEnd()) return {};
@@ -347,6 +371,8 @@
     if (text == "balancers") return Subject::kBalancers;
     if (text == "flows") return Subject::kFlows;
     if (text == "changes") return Subject::kChanges;
+    if (text == "zones") return Subject::kZones;
+    if (text == "load") return Subject::kLoad;
     return {};
   }
 
--- a/packages/command/tests/command_test.cc
+++ b/packages/command/tests/command_test.cc
@@ -50,6 +50,38 @@
         schema::InstanceMode::kServing);
 }
 
+TEST_CASE("Zones are evacuated and restored, apart from instances") {
+  const auto evacuate = ParseChange("evacuate zone z1");
+  REQUIRE(evacuate.__isset.set_zone_mode);
+  CHECK(evacuate.set_zone_mode.zone == "z1");
+  CHECK(evacuate.set_zone_mode.evacuated);
+  const auto restore = ParseChange("restore zone \"z1\"").set_zone_mode;
+  CHECK(restore.zone == "z1");
+  CHECK_FALSE(restore.evacuated);
+  // An instance may be called zone, and a zone instance.
+  CHECK(ParseChange("restore instance zone").set_instance_mode.name == "zone");
+  CHECK(ParseChange("restore zone instance").set_zone_mode.zone == "instance");
+}
+
+TEST_CASE("An error names the commands and subjects that are expected") {
+  CHECK(ParseCommand("evict zone z1").error().message ==
+        "unknown command \"evict\"; expected create, change, remove, allow, "
+        "deny, drain, restore, retire, evacuate, show or help");
+  CHECK(ParseCommand("restore").error().message == "expected instance or zone");
+  CHECK(ParseCommand("evacuate zone").error().message ==
+        "expected an availability zone");
+  CHECK(ParseCommand("show").error().message ==
+        "expected services, targets, balancers, flows, changes, zones or load");
+  CHECK(ParseCommand("show zone").error().message ==
+        "expected services, targets, balancers, flows, changes, zones or load, "
+        "not \"zone\"");
+  const std::string help = kCommandHelp;
+  for (const char* command :
+       {"evacuate zone NAME\n", "restore zone NAME\n", "|zones|load\n"}) {
+    CHECK(help.find(command) != std::string::npos);
+  }
+}
+
 TEST_CASE("Queries are parsed with their conditions") {
   const auto command =
       ParseCommand("show targets where zone=z1 and name ~ \"a *\" and slots>2");
@@ -62,6 +94,11 @@
   CHECK(query.conditions[1].comparison == Comparison::kMatches);
   CHECK(query.conditions[1].value == "a *");
   CHECK(query.conditions[2].comparison == Comparison::kGreater);
+  const auto subject = [](const std::string& text) {
+    return std::get<Query>(*ParseCommand(text)).subject;
+  };
+  CHECK(subject("show zones where evacuated = yes") == Subject::kZones);
+  CHECK(subject("show load where free < 1") == Subject::kLoad);
 }
 
 TEST_CASE("A syntax error reports its column") {
@@ -87,6 +124,15 @@
   CHECK(column("show targets where a b") == 22);
   CHECK(column("show targets where a = 1 or b = 2") == 26);
   CHECK(column("drain instance \"x") == 16);
+  CHECK(column("evacuate") == 9);
+  CHECK(column("evacuate instance i") == 10);
+  CHECK(column("evacuate zone") == 14);
+  CHECK(column("evacuate zone z1 now") == 18);
+  CHECK(column("restore") == 8);
+  CHECK(column("restore service s") == 9);
+  CHECK(column("restore \"zone\" z1") == 9);
+  CHECK(column("drain zone z1") == 7);
+  CHECK(column("show load where") == 16);
 }
 
 TEST_CASE("Any text is parsed or gives an error column within the text") {
@@ -96,10 +142,10 @@
   });
   rc::prop("random words of the language", [] {
     const auto words = *rc::gen::container<std::vector<std::string>>(
-        rc::gen::element<std::string>("create", "service", "a", "address",
-                                      "1.2.3.4:5", "show", "targets", "where",
-                                      "=", "and", "drain", "instance", "for",
-                                      "in", "allow", "10s", "deadline", "\""));
+        rc::gen::element<std::string>(
+            "create", "service", "a", "address", "1.2.3.4:5", "show", "targets",
+            "where", "=", "and", "drain", "instance", "for", "in", "allow",
+            "10s", "deadline", "\"", "evacuate", "restore", "zone", "load"));
     std::string text;
     for (const auto& word : words) text += word + " ";
     const auto command = ParseCommand(text);
--- a/packages/configuration/include/configuration/change_rules.h
+++ b/packages/configuration/include/configuration/change_rules.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <tl/expected.hpp>
 
+#include "configuration/zone_mode.h"
 #include "configuration_types.h"
 
 namespace sesamesaddle {
@@ -35,6 +36,9 @@
 constexpr size_t kMaxServices = 5000;
 constexpr size_t kMaxRulesPerService = 64;
 constexpr size_t kMaxNameBytes = 63;
+/** The reserved instance name of an evacuated zone must be a valid name. */
+constexpr size_t kMaxEvacuableZoneBytes =
+    kMaxNameBytes - kZoneInstancePrefix.size();
 
 /**
  * Validates a change and applies it, or returns the reason for its refusal and
--- a/packages/configuration/src/change_log.cc
+++ b/packages/configuration/src/change_log.cc
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "configuration/zone_mode.h"
 #include "schema/codec.h"
 
 namespace sesamesaddle {
@@ -41,6 +42,7 @@
 void ChangeLog::Submit(schema::ChangeRecord record, Duration limit, Done done) {
   auto submission = std::make_shared<Submission>();
   submission->record = std::move(record);
+  AddInstanceForm(submission->record.change);
   submission->settle_deadline = scheduler_.Now() + limit;
   submission->done = std::move(done);
   // A process that is behind must not create the key of a revision that was
--- a/packages/configuration/src/change_rules.cc
+++ b/packages/configuration/src/change_rules.cc
@@ -4,6 +4,7 @@
 #include <cctype>
 #include <optional>
 
+#include "configuration/zone_mode.h"
 #include "core/endpoint.h"
 
 namespace sesamesaddle {
@@ -153,7 +154,7 @@
 }
 
 Result SetMode(schema::Configuration& configuration,
-               const schema::SetInstanceMode& change) {
+               const schema::SetInstanceMode& change, int64_t revision) {
   if (auto named = CheckName(change.name); !named) return named;
   if (ModeOf(configuration, change.name) == change.mode) {
     return Refuse(RefusalReason::kNoChange,
@@ -164,9 +165,37 @@
   } else {
     configuration.instances[change.name] = change.mode;
   }
+  UpdateEvacuatedZone(configuration, change.name, revision);
   return {};
 }
 
+/**
+ * Applies the instance form of the change, so that processes that know only
+ * that form accept and refuse the same records.
+ */
+Result SetZone(schema::Configuration& configuration,
+               const schema::SetZoneMode& zone_mode, int64_t revision) {
+  const std::string& zone = zone_mode.zone;
+  if (auto named = CheckName(zone); !named) return named;
+  if (zone.size() > kMaxEvacuableZoneBytes) {
+    return Refuse(RefusalReason::kBadValue,
+                  "a zone whose name is longer than " +
+                      std::to_string(kMaxEvacuableZoneBytes) +
+                      " bytes cannot be evacuated");
+  }
+  schema::Change change;
+  change.__set_set_zone_mode(zone_mode);
+  AddInstanceForm(change);
+  return SetMode(configuration, change.set_instance_mode, revision)
+      .map_error([&](const Refusal& refusal) -> Refusal {
+        if (refusal.reason != RefusalReason::kNoChange) return refusal;
+        return {refusal.reason,
+                "zone " + zone +
+                    (zone_mode.evacuated ? " is evacuated already"
+                                         : " is not evacuated")};
+      });
+}
+
 Result Dispatch(schema::Configuration& configuration,
                 const schema::Change& change, int64_t revision) {
   if (change.__isset.create_service) {
@@ -186,8 +215,11 @@
   if (change.__isset.deny_targets) {
     return Deny(configuration, change.deny_targets);
   }
+  if (change.__isset.set_zone_mode) {
+    return SetZone(configuration, change.set_zone_mode, revision);
+  }
   if (change.__isset.set_instance_mode) {
-    return SetMode(configuration, change.set_instance_mode);
+    return SetMode(configuration, change.set_instance_mode, revision);
   }
   return Refuse(RefusalReason::kBadValue, "the change is empty");
 }
--- a/packages/configuration/src/replica.cc
+++ b/packages/configuration/src/replica.cc
@@ -1,6 +1,7 @@
 #include "configuration/replica.h"
 
 #include "configuration/change_rules.h"
+#include "configuration/zone_mode.h"
 
 namespace sesamesaddle {
 
@@ -29,6 +30,7 @@
     return OfferResult::kAlreadyApplied;
   }
   current_ = snapshot;
+  RestoreEvacuatedZones(current_);
   recent_.clear();  // There may be a gap between them and the snapshot.
   ApplyPendingRecords();
   return OfferResult::kApplied;
--- a/packages/daemon/include/daemon/operator_commands.h
+++ b/packages/daemon/include/daemon/operator_commands.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <tl/expected.hpp>
 
 #include "admin_types.h"
 #include "command/command.h"
@@ -30,16 +31,18 @@
 
   void Submit(const schema::Change& change, const std::string& text,
               const CommandOptions& options, Done done);
-  void OnSubmitted(const SubmitResult& result, const std::string& change_id,
-                   Duration wait, const Done& done);
+  void OnSubmitted(const SubmitResult& result,
+                   const schema::ChangeRecord& submitted, Duration wait,
+                   const Done& done);
   /** Replies once all processes have the revision, or at the deadline. */
   void PollUntilInForce(const std::shared_ptr<PendingReply>& pending);
   schema::CommandReply RunQuery(const Query& query) const;
-  schema::Table MakeTable(Subject subject) const;
+  tl::expected<schema::Table, std::string> MakeTable(Subject subject) const;
   schema::Table ServicesTable() const;
   schema::Table MembersTable(schema::Role::type role) const;
   schema::Table FlowsTable() const;
   schema::Table ChangesTable() const;
+  schema::Table ZonesTable() const;
 
   Role& role_;
   ChangeLog& change_log_;
--- a/packages/daemon/src/operator_commands.cc
+++ b/packages/daemon/src/operator_commands.cc
@@ -6,6 +6,8 @@
 
 #include "command/table.h"
 #include "configuration/change_rules.h"
+#include "configuration/zone_mode.h"
+#include "daemon/zone_table.h"
 #include "operator_api/command_reply.h"
 
 namespace sesamesaddle {
@@ -54,6 +56,14 @@
   return "?";
 }
 
+const char* DescribeMode(const schema::Configuration& configuration,
+                         const schema::MemberRecord& record) {
+  const auto mode = ModeOf(configuration, record.name);
+  if (mode != schema::InstanceMode::kServing) return ToString(mode);
+  if (IsEvacuated(configuration, record.zone)) return "evacuated";
+  return record.draining ? "stopping" : ToString(mode);
+}
+
 std::string Join(const std::vector<std::string>& parts) {
   std::string text;
   for (const std::string& part : parts) {
@@ -121,23 +131,27 @@
   record.time_ms = WallClockMs();
   record.change = change;
   record.text = text;
-  const std::string change_id = record.change_id;
+  const schema::ChangeRecord submitted = record;
   change_log_.Submit(std::move(record), kSubmitTimeout,
-                     [this, change_id, wait = options.wait,
+                     [this, submitted, wait = options.wait,
                       done = std::move(done)](const SubmitResult& result) {
-                       OnSubmitted(result, change_id, wait, done);
+                       OnSubmitted(result, submitted, wait, done);
                      });
 }
 
 void OperatorCommands::OnSubmitted(const SubmitResult& result,
-                                   const std::string& change_id, Duration wait,
-                                   const Done& done) {
+                                   const schema::ChangeRecord& submitted,
+                                   Duration wait, const Done& done) {
   schema::CommandReply reply;
-  reply.__set_change_id(change_id);
+  reply.__set_change_id(submitted.change_id);
   switch (result.outcome) {
     case SubmitResult::Outcome::kAccepted:
       reply.outcome = schema::CommandOutcome::kAccepted;
       reply.message = "accepted, revision " + std::to_string(result.revision);
+      if (submitted.change.__isset.set_zone_mode) {
+        reply.message += DescribeZoneEffect(
+            role_.control(), submitted.change.set_zone_mode);
+      }
       reply.__set_revision(result.revision);
       break;
     case SubmitResult::Outcome::kRefused:
@@ -146,8 +160,9 @@
       break;
     case SubmitResult::Outcome::kUnknown:
       reply.outcome = schema::CommandOutcome::kOutcomeUnknown;
-      reply.message = "outcome unknown: " + result.message +
-                      "; ask with: show changes where change = " + change_id;
+      reply.message =
+          "outcome unknown: " + result.message +
+          "; ask with: show changes where change = " + submitted.change_id;
       break;
   }
   if (reply.outcome != schema::CommandOutcome::kAccepted ||
@@ -184,7 +199,10 @@
 }
 
 schema::CommandReply OperatorCommands::RunQuery(const Query& query) const {
-  const auto table = FilterTable(MakeTable(query.subject), query.conditions);
+  const auto table =
+      MakeTable(query.subject).and_then([&query](const auto& whole) {
+        return FilterTable(whole, query.conditions);
+      });
   if (!table) {
     return MakeReply(schema::CommandOutcome::kRefused, table.error());
   }
@@ -193,7 +211,8 @@
   return reply;
 }
 
-schema::Table OperatorCommands::MakeTable(Subject subject) const {
+tl::expected<schema::Table, std::string> OperatorCommands::MakeTable(
+    Subject subject) const {
   switch (subject) {
     case Subject::kServices:
       return ServicesTable();
@@ -205,8 +224,14 @@
       return FlowsTable();
     case Subject::kChanges:
       return ChangesTable();
+    case Subject::kZones:
+      return ZonesTable();
+    case Subject::kLoad:
+      break;
   }
-  return {};
+  return tl::unexpected(
+      std::string("refused: balancers of packet flows have the table of load; "
+                  "here show zones lists the flows of each zone"));
 }
 
 schema::Table OperatorCommands::ServicesTable() const {
@@ -240,15 +265,12 @@
   const ControlPlane& control = role_.control();
   const auto add = [&](const schema::MemberRecord& record) {
     if (record.role != role) return;
-    const auto mode = ModeOf(control.replica().current(), record.name);
-    const bool stopping =
-        record.draining && mode == schema::InstanceMode::kServing;
     std::vector<std::string> cells = {
         record.name,
         record.zone,
         Endpoint::Unpack(record.endpoint).ToString(),
         ToString(record.state),
-        stopping ? "stopping" : ToString(mode),
+        DescribeMode(control.replica().current(), record),
         Endpoint::Unpack(record.admin).ToString()};
     if (role == schema::Role::kAgent) {
       std::vector<std::string> services;
@@ -286,6 +308,12 @@
   return table;
 }
 
+schema::Table OperatorCommands::ZonesTable() const {
+  schema::StateDump dump;
+  role_.FillDump(scheduler_.Now(), dump);
+  return MakeZonesTable(role_.control(), dump.loads);
+}
+
 schema::Table OperatorCommands::ChangesTable() const {
   schema::Table table;
   table.columns = {"revision", "change", "author", "time_ms", "text"};
--- a/packages/node/include/node/control_plane.h
+++ b/packages/node/include/node/control_plane.h
@@ -83,6 +83,11 @@
   }
   /** Returns the mode that operators set for this instance. */
   schema::InstanceMode::type mode() const;
+  /**
+   * Returns whether this instance gets no new work by an operator's command: it
+   * is drained or retired, or its availability zone is evacuated.
+   */
+  bool DrainedByOperators() const;
 
   /** Returns and clears the member changes since the last call. */
   std::vector<MemberChange> TakeMemberChanges();
--- a/packages/node/src/control_plane.cc
+++ b/packages/node/src/control_plane.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "configuration/change_rules.h"
+#include "configuration/zone_mode.h"
 #include "schema/codec.h"
 
 namespace sesamesaddle {
@@ -206,6 +207,11 @@
   return ModeOf(replica_.current(), membership_.self().name);
 }
 
+bool ControlPlane::DrainedByOperators() const {
+  return mode() != schema::InstanceMode::kServing ||
+         IsEvacuated(replica_.current(), membership_.self().zone);
+}
+
 std::vector<MemberChange> ControlPlane::TakeMemberChanges() {
   return std::exchange(changes_, {});
 }
@@ -323,8 +329,7 @@
 }
 
 void ControlPlane::UpdateSelfMember() {
-  membership_.SetDraining(stopping_ ||
-                          mode() != schema::InstanceMode::kServing);
+  membership_.SetDraining(stopping_ || DrainedByOperators());
   Member own;
   own.record = membership_.self();
   services_.SetMember(own);
--- a/packages/routing/include/routing/service_table.h
+++ b/packages/routing/include/routing/service_table.h
@@ -22,7 +22,7 @@
   std::vector<MemberId> home_candidates;
   /** All present agents that may serve it, including leaving ones. */
   std::vector<MemberId> agents;
-  /** Agents that are draining or retired. */
+  /** Agents that are draining or retired, or in an evacuated zone. */
   std::vector<MemberId> leaving;
 };
 
@@ -43,7 +43,10 @@
   const ServiceEntry* Find(ServiceId service) const;
   /** Returns whether the agent may serve the service. */
   bool Serves(MemberId agent, ServiceId service) const;
-  /** Returns whether the agent is draining or retired: it gets no new work. */
+  /**
+   * Returns whether the agent gets no new work, as it is draining, retired or
+   * in an evacuated zone.
+   */
   bool Leaving(MemberId agent) const;
   const std::unordered_map<ServiceId, ServiceEntry>& services() const {
     return services_;
@@ -64,6 +67,7 @@
   std::unordered_map<Endpoint, ServiceId> by_address_;
   std::map<MemberId, Agent> agents_;
   std::map<std::string, schema::InstanceMode::type> instance_modes_;
+  std::map<std::string, int64_t> evacuated_zones_;
 };
 
 }  // namespace sesamesaddle
--- a/packages/routing/src/service_table.cc
+++ b/packages/routing/src/service_table.cc
@@ -36,8 +36,10 @@
 
 void ServiceTable::SetConfiguration(
     const schema::Configuration& configuration) {
-  const bool modes_changed = instance_modes_ != configuration.instances;
+  const bool modes_changed = instance_modes_ != configuration.instances ||
+                             evacuated_zones_ != configuration.evacuated_zones;
   instance_modes_ = configuration.instances;
+  evacuated_zones_ = configuration.evacuated_zones;
   std::unordered_map<ServiceId, ServiceEntry> services;
   for (const auto& [name, service] : configuration.services) {
     const ServiceId id(service.id);
@@ -118,7 +120,8 @@
 }
 
 bool ServiceTable::IsLeaving(const Agent& agent) const {
-  return agent.draining || instance_modes_.count(agent.name) != 0;
+  return agent.draining || instance_modes_.count(agent.name) != 0 ||
+         evacuated_zones_.count(agent.zone) != 0;
 }
 
 }  // namespace sesamesaddle
--- a/packages/routing/tests/routing_test.cc
+++ b/packages/routing/tests/routing_test.cc
@@ -80,7 +80,8 @@
     for (const auto& [id, member] : members) {
       const bool leaving =
           member.record.draining ||
-          configuration.instances.count(member.record.name) != 0;
+          configuration.instances.count(member.record.name) != 0 ||
+          configuration.evacuated_zones.count(member.record.zone) != 0;
       if (member.present() && member.is_agent() &&
           MayServe(service, member.record.name, member.record.zone) &&
           (leaving || !leaving_only)) {
@@ -102,7 +103,7 @@
     ServiceTable table;
     const std::vector<std::string> patterns = {"a*", "?1", "*", "b2"};
     for (int step = 0; step < 40; ++step) {
-      const int kind = *rc::gen::inRange(0, 4);
+      const int kind = *rc::gen::inRange(0, 5);
       if (kind < 2) {
         const int64_t id = *rc::gen::inRange<int64_t>(1, 8);
         Member& member = model.members[id];
@@ -129,6 +130,10 @@
         rule.pattern = *rc::gen::elementOf(patterns);
         rule.zone = *rc::gen::element<std::string>("", "x");
         service.targets = {rule};
+      } else if (kind == 3) {
+        auto& evacuated = model.configuration.evacuated_zones;
+        const auto zone = *rc::gen::element<std::string>("x", "y");
+        if (evacuated.erase(zone) == 0) evacuated[zone] = step;
       } else {
         const std::string name = "a" + std::to_string(*rc::gen::inRange(0, 4));
         if (*rc::gen::arbitrary<bool>()) {
--- a/packages/schema/configuration.thrift
+++ b/packages/schema/configuration.thrift
@@ -37,6 +37,9 @@
   2: required map<string, Service> services
   // Instances whose mode is not kServing, by name.
   3: required map<string, InstanceMode> instances
+  // Evacuated availability zones, with the revision that evacuated each; 0 if a
+  // process of an earlier version wrote the snapshot and lost it.
+  4: map<string, i64> evacuated_zones
 }
 
 struct CreateService {
@@ -74,7 +77,14 @@
   2: required InstanceMode mode
 }
 
-// Exactly one field is set.
+// Every instance of an evacuated zone is treated as draining.
+struct SetZoneMode {
+  1: required string zone
+  2: required bool evacuated
+}
+
+// Exactly one field is set, except that set_zone_mode comes with a
+// set_instance_mode for processes that do not know it (zone_mode.h).
 struct Change {
   1: optional CreateService create_service
   2: optional ChangeService change_service
@@ -82,6 +92,7 @@
   4: optional AllowTargets allow_targets
   5: optional DenyTargets deny_targets
   6: optional SetInstanceMode set_instance_mode
+  7: optional SetZoneMode set_zone_mode
 }
 
 // One entry of the ordered change log; its store key ends in its revision.
--- a/packages/schema/gen/configuration_types.cpp
+++ b/packages/schema/gen/configuration_types.cpp
@@ -486,6 +486,10 @@
 void Configuration::__set_instances(const std::map<std::string, InstanceMode::type> & val) {
   this->instances = val;
 }
+
+void Configuration::__set_evacuated_zones(const std::map<std::string, int64_t> & val) {
+  this->evacuated_zones = val;
+}
 std::ostream& operator<<(std::ostream& out, const Configuration& obj)
 {
   obj.printTo(out);
@@ -573,6 +577,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->evacuated_zones.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _ktype31;
+            ::apache::thrift::protocol::TType _vtype32;
+            xfer += iprot->readMapBegin(_ktype31, _vtype32, _size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              std::string _key35;
+              xfer += iprot->readString(_key35);
+              int64_t& _val36 = this->evacuated_zones[_key35];
+              xfer += iprot->readI64(_val36);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.evacuated_zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -603,11 +630,11 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::map<std::string, Service> ::const_iterator _iter30;
-    for (_iter30 = this->services.begin(); _iter30 != this->services.end(); ++_iter30)
+    std::map<std::string, Service> ::const_iterator _iter37;
+    for (_iter37 = this->services.begin(); _iter37 != this->services.end(); ++_iter37)
     {
-      xfer += oprot->writeString(_iter30->first);
-      xfer += _iter30->second.write(oprot);
+      xfer += oprot->writeString(_iter37->first);
+      xfer += _iter37->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -616,11 +643,24 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->instances.size()));
-    std::map<std::string, InstanceMode::type> ::const_iterator _iter31;
-    for (_iter31 = this->instances.begin(); _iter31 != this->instances.end(); ++_iter31)
+    std::map<std::string, InstanceMode::type> ::const_iterator _iter38;
+    for (_iter38 = this->instances.begin(); _iter38 != this->instances.end(); ++_iter38)
+    {
+      xfer += oprot->writeString(_iter38->first);
+      xfer += oprot->writeI32(static_cast<int32_t>(_iter38->second));
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuated_zones", ::apache::thrift::protocol::T_MAP, 4);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->evacuated_zones.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter39;
+    for (_iter39 = this->evacuated_zones.begin(); _iter39 != this->evacuated_zones.end(); ++_iter39)
     {
-      xfer += oprot->writeString(_iter31->first);
-      xfer += oprot->writeI32(static_cast<int32_t>(_iter31->second));
+      xfer += oprot->writeString(_iter39->first);
+      xfer += oprot->writeI64(_iter39->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -636,28 +676,38 @@
   swap(a.revision, b.revision);
   swap(a.services, b.services);
   swap(a.instances, b.instances);
+  swap(a.evacuated_zones, b.evacuated_zones);
+  swap(a.__isset, b.__isset);
 }
 
-Configuration::Configuration(const Configuration& other32) {
-  revision = other32.revision;
-  services = other32.services;
-  instances = other32.instances;
-}
-Configuration::Configuration(Configuration&& other33) noexcept {
-  revision = other33.revision;
-  services = std::move(other33.services);
-  instances = std::move(other33.instances);
+Configuration::Configuration(const Configuration& other40) {
+  revision = other40.revision;
+  services = other40.services;
+  instances = other40.instances;
+  evacuated_zones = other40.evacuated_zones;
+  __isset = other40.__isset;
 }
-Configuration& Configuration::operator=(const Configuration& other34) {
-  revision = other34.revision;
-  services = other34.services;
-  instances = other34.instances;
+Configuration::Configuration(Configuration&& other41) noexcept {
+  revision = other41.revision;
+  services = std::move(other41.services);
+  instances = std::move(other41.instances);
+  evacuated_zones = std::move(other41.evacuated_zones);
+  __isset = other41.__isset;
+}
+Configuration& Configuration::operator=(const Configuration& other42) {
+  revision = other42.revision;
+  services = other42.services;
+  instances = other42.instances;
+  evacuated_zones = other42.evacuated_zones;
+  __isset = other42.__isset;
   return *this;
 }
-Configuration& Configuration::operator=(Configuration&& other35) noexcept {
-  revision = other35.revision;
-  services = std::move(other35.services);
-  instances = std::move(other35.instances);
+Configuration& Configuration::operator=(Configuration&& other43) noexcept {
+  revision = other43.revision;
+  services = std::move(other43.services);
+  instances = std::move(other43.instances);
+  evacuated_zones = std::move(other43.evacuated_zones);
+  __isset = other43.__isset;
   return *this;
 }
 void Configuration::printTo(std::ostream& out) const {
@@ -666,6 +716,7 @@
   out << "revision=" << to_string(revision);
   out << ", " << "services=" << to_string(services);
   out << ", " << "instances=" << to_string(instances);
+  out << ", " << "evacuated_zones=" << to_string(evacuated_zones);
   out << ")";
 }
 
@@ -744,9 +795,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast36;
-          xfer += iprot->readI32(ecast36);
-          this->priority = static_cast<Priority::type>(ecast36);
+          int32_t ecast44;
+          xfer += iprot->readI32(ecast44);
+          this->priority = static_cast<Priority::type>(ecast44);
           this->__isset.priority = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -827,38 +878,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CreateService::CreateService(const CreateService& other37) {
-  name = other37.name;
-  address = other37.address;
-  priority = other37.priority;
-  deadline_ms = other37.deadline_ms;
-  drain_grace_ms = other37.drain_grace_ms;
-  __isset = other37.__isset;
-}
-CreateService::CreateService(CreateService&& other38) noexcept {
-  name = std::move(other38.name);
-  address = other38.address;
-  priority = other38.priority;
-  deadline_ms = other38.deadline_ms;
-  drain_grace_ms = other38.drain_grace_ms;
-  __isset = other38.__isset;
-}
-CreateService& CreateService::operator=(const CreateService& other39) {
-  name = other39.name;
-  address = other39.address;
-  priority = other39.priority;
-  deadline_ms = other39.deadline_ms;
-  drain_grace_ms = other39.drain_grace_ms;
-  __isset = other39.__isset;
+CreateService::CreateService(const CreateService& other45) {
+  name = other45.name;
+  address = other45.address;
+  priority = other45.priority;
+  deadline_ms = other45.deadline_ms;
+  drain_grace_ms = other45.drain_grace_ms;
+  __isset = other45.__isset;
+}
+CreateService::CreateService(CreateService&& other46) noexcept {
+  name = std::move(other46.name);
+  address = other46.address;
+  priority = other46.priority;
+  deadline_ms = other46.deadline_ms;
+  drain_grace_ms = other46.drain_grace_ms;
+  __isset = other46.__isset;
+}
+CreateService& CreateService::operator=(const CreateService& other47) {
+  name = other47.name;
+  address = other47.address;
+  priority = other47.priority;
+  deadline_ms = other47.deadline_ms;
+  drain_grace_ms = other47.drain_grace_ms;
+  __isset = other47.__isset;
   return *this;
 }
-CreateService& CreateService::operator=(CreateService&& other40) noexcept {
-  name = std::move(other40.name);
-  address = other40.address;
-  priority = other40.priority;
-  deadline_ms = other40.deadline_ms;
-  drain_grace_ms = other40.drain_grace_ms;
-  __isset = other40.__isset;
+CreateService& CreateService::operator=(CreateService&& other48) noexcept {
+  name = std::move(other48.name);
+  address = other48.address;
+  priority = other48.priority;
+  deadline_ms = other48.deadline_ms;
+  drain_grace_ms = other48.drain_grace_ms;
+  __isset = other48.__isset;
   return *this;
 }
 void CreateService::printTo(std::ostream& out) const {
@@ -947,9 +998,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast41;
-          xfer += iprot->readI32(ecast41);
-          this->priority = static_cast<Priority::type>(ecast41);
+          int32_t ecast49;
+          xfer += iprot->readI32(ecast49);
+          this->priority = static_cast<Priority::type>(ecast49);
           this->__isset.priority = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1029,38 +1080,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeService::ChangeService(const ChangeService& other42) {
-  name = other42.name;
-  address = other42.address;
-  priority = other42.priority;
-  deadline_ms = other42.deadline_ms;
-  drain_grace_ms = other42.drain_grace_ms;
-  __isset = other42.__isset;
-}
-ChangeService::ChangeService(ChangeService&& other43) noexcept {
-  name = std::move(other43.name);
-  address = other43.address;
-  priority = other43.priority;
-  deadline_ms = other43.deadline_ms;
-  drain_grace_ms = other43.drain_grace_ms;
-  __isset = other43.__isset;
-}
-ChangeService& ChangeService::operator=(const ChangeService& other44) {
-  name = other44.name;
-  address = other44.address;
-  priority = other44.priority;
-  deadline_ms = other44.deadline_ms;
-  drain_grace_ms = other44.drain_grace_ms;
-  __isset = other44.__isset;
+ChangeService::ChangeService(const ChangeService& other50) {
+  name = other50.name;
+  address = other50.address;
+  priority = other50.priority;
+  deadline_ms = other50.deadline_ms;
+  drain_grace_ms = other50.drain_grace_ms;
+  __isset = other50.__isset;
+}
+ChangeService::ChangeService(ChangeService&& other51) noexcept {
+  name = std::move(other51.name);
+  address = other51.address;
+  priority = other51.priority;
+  deadline_ms = other51.deadline_ms;
+  drain_grace_ms = other51.drain_grace_ms;
+  __isset = other51.__isset;
+}
+ChangeService& ChangeService::operator=(const ChangeService& other52) {
+  name = other52.name;
+  address = other52.address;
+  priority = other52.priority;
+  deadline_ms = other52.deadline_ms;
+  drain_grace_ms = other52.drain_grace_ms;
+  __isset = other52.__isset;
   return *this;
 }
-ChangeService& ChangeService::operator=(ChangeService&& other45) noexcept {
-  name = std::move(other45.name);
-  address = other45.address;
-  priority = other45.priority;
-  deadline_ms = other45.deadline_ms;
-  drain_grace_ms = other45.drain_grace_ms;
-  __isset = other45.__isset;
+ChangeService& ChangeService::operator=(ChangeService&& other53) noexcept {
+  name = std::move(other53.name);
+  address = other53.address;
+  priority = other53.priority;
+  deadline_ms = other53.deadline_ms;
+  drain_grace_ms = other53.drain_grace_ms;
+  __isset = other53.__isset;
   return *this;
 }
 void ChangeService::printTo(std::ostream& out) const {
@@ -1152,18 +1203,18 @@
   swap(a.name, b.name);
 }
 
-RemoveService::RemoveService(const RemoveService& other46) {
-  name = other46.name;
+RemoveService::RemoveService(const RemoveService& other54) {
+  name = other54.name;
 }
-RemoveService::RemoveService(RemoveService&& other47) noexcept {
-  name = std::move(other47.name);
+RemoveService::RemoveService(RemoveService&& other55) noexcept {
+  name = std::move(other55.name);
 }
-RemoveService& RemoveService::operator=(const RemoveService& other48) {
-  name = other48.name;
+RemoveService& RemoveService::operator=(const RemoveService& other56) {
+  name = other56.name;
   return *this;
 }
-RemoveService& RemoveService::operator=(RemoveService&& other49) noexcept {
-  name = std::move(other49.name);
+RemoveService& RemoveService::operator=(RemoveService&& other57) noexcept {
+  name = std::move(other57.name);
   return *this;
 }
 void RemoveService::printTo(std::ostream& out) const {
@@ -1271,22 +1322,22 @@
   swap(a.rule, b.rule);
 }
 
-AllowTargets::AllowTargets(const AllowTargets& other50) {
-  service_name = other50.service_name;
-  rule = other50.rule;
+AllowTargets::AllowTargets(const AllowTargets& other58) {
+  service_name = other58.service_name;
+  rule = other58.rule;
 }
-AllowTargets::AllowTargets(AllowTargets&& other51) noexcept {
-  service_name = std::move(other51.service_name);
-  rule = std::move(other51.rule);
+AllowTargets::AllowTargets(AllowTargets&& other59) noexcept {
+  service_name = std::move(other59.service_name);
+  rule = std::move(other59.rule);
 }
-AllowTargets& AllowTargets::operator=(const AllowTargets& other52) {
-  service_name = other52.service_name;
-  rule = other52.rule;
+AllowTargets& AllowTargets::operator=(const AllowTargets& other60) {
+  service_name = other60.service_name;
+  rule = other60.rule;
   return *this;
 }
-AllowTargets& AllowTargets::operator=(AllowTargets&& other53) noexcept {
-  service_name = std::move(other53.service_name);
-  rule = std::move(other53.rule);
+AllowTargets& AllowTargets::operator=(AllowTargets&& other61) noexcept {
+  service_name = std::move(other61.service_name);
+  rule = std::move(other61.rule);
   return *this;
 }
 void AllowTargets::printTo(std::ostream& out) const {
@@ -1395,22 +1446,22 @@
   swap(a.rule, b.rule);
 }
 
-DenyTargets::DenyTargets(const DenyTargets& other54) {
-  service_name = other54.service_name;
-  rule = other54.rule;
+DenyTargets::DenyTargets(const DenyTargets& other62) {
+  service_name = other62.service_name;
+  rule = other62.rule;
 }
-DenyTargets::DenyTargets(DenyTargets&& other55) noexcept {
-  service_name = std::move(other55.service_name);
-  rule = std::move(other55.rule);
+DenyTargets::DenyTargets(DenyTargets&& other63) noexcept {
+  service_name = std::move(other63.service_name);
+  rule = std::move(other63.rule);
 }
-DenyTargets& DenyTargets::operator=(const DenyTargets& other56) {
-  service_name = other56.service_name;
-  rule = other56.rule;
+DenyTargets& DenyTargets::operator=(const DenyTargets& other64) {
+  service_name = other64.service_name;
+  rule = other64.rule;
   return *this;
 }
-DenyTargets& DenyTargets::operator=(DenyTargets&& other57) noexcept {
-  service_name = std::move(other57.service_name);
-  rule = std::move(other57.rule);
+DenyTargets& DenyTargets::operator=(DenyTargets&& other65) noexcept {
+  service_name = std::move(other65.service_name);
+  rule = std::move(other65.rule);
   return *this;
 }
 void DenyTargets::printTo(std::ostream& out) const {
@@ -1473,9 +1524,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast58;
-          xfer += iprot->readI32(ecast58);
-          this->mode = static_cast<InstanceMode::type>(ecast58);
+          int32_t ecast66;
+          xfer += iprot->readI32(ecast66);
+          this->mode = static_cast<InstanceMode::type>(ecast66);
           isset_mode = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1521,22 +1572,22 @@
   swap(a.mode, b.mode);
 }
 
-SetInstanceMode::SetInstanceMode(const SetInstanceMode& other59) {
-  name = other59.name;
-  mode = other59.mode;
+SetInstanceMode::SetInstanceMode(const SetInstanceMode& other67) {
+  name = other67.name;
+  mode = other67.mode;
 }
-SetInstanceMode::SetInstanceMode(SetInstanceMode&& other60) noexcept {
-  name = std::move(other60.name);
-  mode = other60.mode;
+SetInstanceMode::SetInstanceMode(SetInstanceMode&& other68) noexcept {
+  name = std::move(other68.name);
+  mode = other68.mode;
 }
-SetInstanceMode& SetInstanceMode::operator=(const SetInstanceMode& other61) {
-  name = other61.name;
-  mode = other61.mode;
+SetInstanceMode& SetInstanceMode::operator=(const SetInstanceMode& other69) {
+  name = other69.name;
+  mode = other69.mode;
   return *this;
 }
-SetInstanceMode& SetInstanceMode::operator=(SetInstanceMode&& other62) noexcept {
-  name = std::move(other62.name);
-  mode = other62.mode;
+SetInstanceMode& SetInstanceMode::operator=(SetInstanceMode&& other70) noexcept {
+  name = std::move(other70.name);
+  mode = other70.mode;
   return *this;
 }
 void SetInstanceMode::printTo(std::ostream& out) const {
@@ -1548,6 +1599,130 @@
 }
 
 
+SetZoneMode::~SetZoneMode() noexcept {
+}
+
+
+void SetZoneMode::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void SetZoneMode::__set_evacuated(const bool val) {
+  this->evacuated = val;
+}
+std::ostream& operator<<(std::ostream& out, const SetZoneMode& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SetZoneMode::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_zone = false;
+  bool isset_evacuated = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          isset_zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuated);
+          isset_evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_zone)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_evacuated)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SetZoneMode::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SetZoneMode");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->evacuated);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SetZoneMode &a, SetZoneMode &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.evacuated, b.evacuated);
+}
+
+SetZoneMode::SetZoneMode(const SetZoneMode& other71) {
+  zone = other71.zone;
+  evacuated = other71.evacuated;
+}
+SetZoneMode::SetZoneMode(SetZoneMode&& other72) noexcept {
+  zone = std::move(other72.zone);
+  evacuated = other72.evacuated;
+}
+SetZoneMode& SetZoneMode::operator=(const SetZoneMode& other73) {
+  zone = other73.zone;
+  evacuated = other73.evacuated;
+  return *this;
+}
+SetZoneMode& SetZoneMode::operator=(SetZoneMode&& other74) noexcept {
+  zone = std::move(other74.zone);
+  evacuated = other74.evacuated;
+  return *this;
+}
+void SetZoneMode::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SetZoneMode(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "evacuated=" << to_string(evacuated);
+  out << ")";
+}
+
+
 Change::~Change() noexcept {
 }
 
@@ -1581,6 +1756,11 @@
   this->set_instance_mode = val;
 __isset.set_instance_mode = true;
 }
+
+void Change::__set_set_zone_mode(const SetZoneMode& val) {
+  this->set_zone_mode = val;
+__isset.set_zone_mode = true;
+}
 std::ostream& operator<<(std::ostream& out, const Change& obj)
 {
   obj.printTo(out);
@@ -1657,6 +1837,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->set_zone_mode.read(iprot);
+          this->__isset.set_zone_mode = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1704,6 +1892,11 @@
     xfer += this->set_instance_mode.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.set_zone_mode) {
+    xfer += oprot->writeFieldBegin("set_zone_mode", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->set_zone_mode.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1717,45 +1910,50 @@
   swap(a.allow_targets, b.allow_targets);
   swap(a.deny_targets, b.deny_targets);
   swap(a.set_instance_mode, b.set_instance_mode);
+  swap(a.set_zone_mode, b.set_zone_mode);
   swap(a.__isset, b.__isset);
 }
 
-Change::Change(const Change& other63) {
-  create_service = other63.create_service;
-  change_service = other63.change_service;
-  remove_service = other63.remove_service;
-  allow_targets = other63.allow_targets;
-  deny_targets = other63.deny_targets;
-  set_instance_mode = other63.set_instance_mode;
-  __isset = other63.__isset;
-}
-Change::Change(Change&& other64) noexcept {
-  create_service = std::move(other64.create_service);
-  change_service = std::move(other64.change_service);
-  remove_service = std::move(other64.remove_service);
-  allow_targets = std::move(other64.allow_targets);
-  deny_targets = std::move(other64.deny_targets);
-  set_instance_mode = std::move(other64.set_instance_mode);
-  __isset = other64.__isset;
-}
-Change& Change::operator=(const Change& other65) {
-  create_service = other65.create_service;
-  change_service = other65.change_service;
-  remove_service = other65.remove_service;
-  allow_targets = other65.allow_targets;
-  deny_targets = other65.deny_targets;
-  set_instance_mode = other65.set_instance_mode;
-  __isset = other65.__isset;
+Change::Change(const Change& other75) {
+  create_service = other75.create_service;
+  change_service = other75.change_service;
+  remove_service = other75.remove_service;
+  allow_targets = other75.allow_targets;
+  deny_targets = other75.deny_targets;
+  set_instance_mode = other75.set_instance_mode;
+  set_zone_mode = other75.set_zone_mode;
+  __isset = other75.__isset;
+}
+Change::Change(Change&& other76) noexcept {
+  create_service = std::move(other76.create_service);
+  change_service = std::move(other76.change_service);
+  remove_service = std::move(other76.remove_service);
+  allow_targets = std::move(other76.allow_targets);
+  deny_targets = std::move(other76.deny_targets);
+  set_instance_mode = std::move(other76.set_instance_mode);
+  set_zone_mode = std::move(other76.set_zone_mode);
+  __isset = other76.__isset;
+}
+Change& Change::operator=(const Change& other77) {
+  create_service = other77.create_service;
+  change_service = other77.change_service;
+  remove_service = other77.remove_service;
+  allow_targets = other77.allow_targets;
+  deny_targets = other77.deny_targets;
+  set_instance_mode = other77.set_instance_mode;
+  set_zone_mode = other77.set_zone_mode;
+  __isset = other77.__isset;
   return *this;
 }
-Change& Change::operator=(Change&& other66) noexcept {
-  create_service = std::move(other66.create_service);
-  change_service = std::move(other66.change_service);
-  remove_service = std::move(other66.remove_service);
-  allow_targets = std::move(other66.allow_targets);
-  deny_targets = std::move(other66.deny_targets);
-  set_instance_mode = std::move(other66.set_instance_mode);
-  __isset = other66.__isset;
+Change& Change::operator=(Change&& other78) noexcept {
+  create_service = std::move(other78.create_service);
+  change_service = std::move(other78.change_service);
+  remove_service = std::move(other78.remove_service);
+  allow_targets = std::move(other78.allow_targets);
+  deny_targets = std::move(other78.deny_targets);
+  set_instance_mode = std::move(other78.set_instance_mode);
+  set_zone_mode = std::move(other78.set_zone_mode);
+  __isset = other78.__isset;
   return *this;
 }
 void Change::printTo(std::ostream& out) const {
@@ -1767,6 +1965,7 @@
   out << ", " << "allow_targets="; (__isset.allow_targets ? (out << to_string(allow_targets)) : (out << "<null>"));
   out << ", " << "deny_targets="; (__isset.deny_targets ? (out << to_string(deny_targets)) : (out << "<null>"));
   out << ", " << "set_instance_mode="; (__isset.set_instance_mode ? (out << to_string(set_instance_mode)) : (out << "<null>"));
+  out << ", " << "set_zone_mode="; (__isset.set_zone_mode ? (out << to_string(set_zone_mode)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1948,38 +2147,38 @@
   swap(a.text, b.text);
 }
 
-ChangeRecord::ChangeRecord(const ChangeRecord& other67) {
-  revision = other67.revision;
-  change_id = other67.change_id;
-  author = other67.author;
-  time_ms = other67.time_ms;
-  change = other67.change;
-  text = other67.text;
-}
-ChangeRecord::ChangeRecord(ChangeRecord&& other68) noexcept {
-  revision = other68.revision;
-  change_id = std::move(other68.change_id);
-  author = std::move(other68.author);
-  time_ms = other68.time_ms;
-  change = std::move(other68.change);
-  text = std::move(other68.text);
-}
-ChangeRecord& ChangeRecord::operator=(const ChangeRecord& other69) {
-  revision = other69.revision;
-  change_id = other69.change_id;
-  author = other69.author;
-  time_ms = other69.time_ms;
-  change = other69.change;
-  text = other69.text;
+ChangeRecord::ChangeRecord(const ChangeRecord& other79) {
+  revision = other79.revision;
+  change_id = other79.change_id;
+  author = other79.author;
+  time_ms = other79.time_ms;
+  change = other79.change;
+  text = other79.text;
+}
+ChangeRecord::ChangeRecord(ChangeRecord&& other80) noexcept {
+  revision = other80.revision;
+  change_id = std::move(other80.change_id);
+  author = std::move(other80.author);
+  time_ms = other80.time_ms;
+  change = std::move(other80.change);
+  text = std::move(other80.text);
+}
+ChangeRecord& ChangeRecord::operator=(const ChangeRecord& other81) {
+  revision = other81.revision;
+  change_id = other81.change_id;
+  author = other81.author;
+  time_ms = other81.time_ms;
+  change = other81.change;
+  text = other81.text;
   return *this;
 }
-ChangeRecord& ChangeRecord::operator=(ChangeRecord&& other70) noexcept {
-  revision = other70.revision;
-  change_id = std::move(other70.change_id);
-  author = std::move(other70.author);
-  time_ms = other70.time_ms;
-  change = std::move(other70.change);
-  text = std::move(other70.text);
+ChangeRecord& ChangeRecord::operator=(ChangeRecord&& other82) noexcept {
+  revision = other82.revision;
+  change_id = std::move(other82.change_id);
+  author = std::move(other82.author);
+  time_ms = other82.time_ms;
+  change = std::move(other82.change);
+  text = std::move(other82.text);
   return *this;
 }
 void ChangeRecord::printTo(std::ostream& out) const {
--- a/packages/schema/gen/configuration_types.h
+++ b/packages/schema/gen/configuration_types.h
@@ -68,6 +68,8 @@
 
 class SetInstanceMode;
 
+class SetZoneMode;
+
 class Change;
 
 class ChangeRecord;
@@ -195,6 +197,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Service& obj);
 
+typedef struct _Configuration__isset {
+  _Configuration__isset() : evacuated_zones(false) {}
+  bool evacuated_zones :1;
+} _Configuration__isset;
 
 class Configuration : public virtual ::apache::thrift::TBase {
  public:
@@ -211,6 +217,9 @@
   int64_t revision;
   std::map<std::string, Service>  services;
   std::map<std::string, InstanceMode::type>  instances;
+  std::map<std::string, int64_t>  evacuated_zones;
+
+  _Configuration__isset __isset;
 
   void __set_revision(const int64_t val);
 
@@ -218,6 +227,8 @@
 
   void __set_instances(const std::map<std::string, InstanceMode::type> & val);
 
+  void __set_evacuated_zones(const std::map<std::string, int64_t> & val);
+
   bool operator == (const Configuration & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -226,6 +237,8 @@
       return false;
     if (!(instances == rhs.instances))
       return false;
+    if (!(evacuated_zones == rhs.evacuated_zones))
+      return false;
     return true;
   }
   bool operator != (const Configuration &rhs) const {
@@ -585,14 +598,60 @@
 
 std::ostream& operator<<(std::ostream& out, const SetInstanceMode& obj);
 
+
+class SetZoneMode : public virtual ::apache::thrift::TBase {
+ public:
+
+  SetZoneMode(const SetZoneMode&);
+  SetZoneMode(SetZoneMode&&) noexcept;
+  SetZoneMode& operator=(const SetZoneMode&);
+  SetZoneMode& operator=(SetZoneMode&&) noexcept;
+  SetZoneMode() noexcept
+              : zone(),
+                evacuated(0) {
+  }
+
+  virtual ~SetZoneMode() noexcept;
+  std::string zone;
+  bool evacuated;
+
+  void __set_zone(const std::string& val);
+
+  void __set_evacuated(const bool val);
+
+  bool operator == (const SetZoneMode & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(evacuated == rhs.evacuated))
+      return false;
+    return true;
+  }
+  bool operator != (const SetZoneMode &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SetZoneMode & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SetZoneMode &a, SetZoneMode &b);
+
+std::ostream& operator<<(std::ostream& out, const SetZoneMode& obj);
+
 typedef struct _Change__isset {
-  _Change__isset() : create_service(false), change_service(false), remove_service(false), allow_targets(false), deny_targets(false), set_instance_mode(false) {}
+  _Change__isset() : create_service(false), change_service(false), remove_service(false), allow_targets(false), deny_targets(false), set_instance_mode(false), set_zone_mode(false) {}
   bool create_service :1;
   bool change_service :1;
   bool remove_service :1;
   bool allow_targets :1;
   bool deny_targets :1;
   bool set_instance_mode :1;
+  bool set_zone_mode :1;
 } _Change__isset;
 
 class Change : public virtual ::apache::thrift::TBase {
@@ -612,6 +671,7 @@
   AllowTargets allow_targets;
   DenyTargets deny_targets;
   SetInstanceMode set_instance_mode;
+  SetZoneMode set_zone_mode;
 
   _Change__isset __isset;
 
@@ -627,6 +687,8 @@
 
   void __set_set_instance_mode(const SetInstanceMode& val);
 
+  void __set_set_zone_mode(const SetZoneMode& val);
+
   bool operator == (const Change & rhs) const
   {
     if (__isset.create_service != rhs.__isset.create_service)
@@ -653,6 +715,10 @@
       return false;
     else if (__isset.set_instance_mode && !(set_instance_mode == rhs.set_instance_mode))
       return false;
+    if (__isset.set_zone_mode != rhs.__isset.set_zone_mode)
+      return false;
+    else if (__isset.set_zone_mode && !(set_zone_mode == rhs.set_zone_mode))
+      return false;
     return true;
   }
   bool operator != (const Change &rhs) const {
