Cluster tests of evacuated zones

Cause: nothing showed on the virtual clock that an evacuation loses no flow and is kept by processes that start later.

Also: a record that an earlier version passes on lacks the new field; it has the same effect, which zone_mode_test now compares.

--- a/packages/configuration/include/configuration/zone_mode.h
+++ b/packages/configuration/include/configuration/zone_mode.h
@@ -15,7 +15,8 @@
  * rest as an empty change. It would then never pass that revision. Each
  * SetZoneMode is therefore written together with a SetInstanceMode of a
  * reserved name, which such a process applies like the drain of an instance
- * that does not exist, and which stays in the snapshots that it writes.
+ * that does not exist. It passes only that form on, in records and snapshots,
+ * so the form alone has the same effect here.
  */
 constexpr std::string_view kZoneInstancePrefix = "evacuated-zone.";
 
--- a/packages/configuration/tests/zone_mode_test.cc
+++ b/packages/configuration/tests/zone_mode_test.cc
@@ -158,7 +158,8 @@
       RC_ASSERT(earlier.OfferRecord(
                     MakeRecord(next, AsEarlierVersion(change))) == applied);
     }
-    RC_ASSERT(earlier.current().instances == current.current().instances);
+    // Also the effect of a record that such a process has passed on.
+    RC_ASSERT(earlier.current() == current.current());
 
     // Its snapshot lacks the field, but a later version restores the zones.
     schema::Configuration snapshot = earlier.current();
--- a/packages/daemon/src/operator_commands.cc
+++ b/packages/daemon/src/operator_commands.cc
@@ -149,8 +149,8 @@
       reply.outcome = schema::CommandOutcome::kAccepted;
       reply.message = "accepted, revision " + std::to_string(result.revision);
       if (submitted.change.__isset.set_zone_mode) {
-        reply.message += DescribeZoneEffect(
-            role_.control(), submitted.change.set_zone_mode);
+        reply.message +=
+            DescribeZoneEffect(role_.control(), submitted.change.set_zone_mode);
       }
       reply.__set_revision(result.revision);
       break;
--- a/packages/node/tests/node_test.cc
+++ b/packages/node/tests/node_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "configuration/zone_mode.h"
 #include "control_network.h"
 #include "node/control_plane.h"
 
@@ -16,6 +17,17 @@
   return record;
 }
 
+schema::ChangeRecord MakeZoneRecord(int64_t revision, bool evacuated) {
+  schema::SetZoneMode zone;
+  zone.zone = "x";
+  zone.evacuated = evacuated;
+  schema::ChangeRecord record;
+  record.revision = revision;
+  record.change.__set_set_zone_mode(zone);
+  AddInstanceForm(record.change);
+  return record;
+}
+
 TEST_CASE("A change reaches all processes within 6 s despite 10 % loss") {
   ControlNetwork network(1);
   network.loss_percent = 10;
@@ -77,6 +89,31 @@
   CHECK(network.node(3).CountMembersWithRevision(Revision(2)) == 0);
 }
 
+TEST_CASE(
+    "The instances of an evacuated zone announce that they are draining") {
+  // Processes of earlier versions know the evacuation by nothing else.
+  ControlNetwork network(6);
+  network.Add(schema::Role::kBalancer, "x");
+  network.Add(schema::Role::kBalancer, "y");
+  const size_t evacuated = network.Add(schema::Role::kAgent, "x");
+  const size_t other = network.Add(schema::Role::kAgent, "y");
+  network.RunFor(std::chrono::seconds(5));
+  const auto announced = [&](size_t agent) {
+    const MemberId id = network.node(agent).self_id();
+    return network.node(1).membership().Find(id)->record.draining;
+  };
+  const Endpoint balancer = network.node(0).self_endpoint();
+  network.Record(1, MakeZoneRecord(1, true));
+  network.RunFor(std::chrono::seconds(3));
+  CHECK(announced(evacuated));
+  CHECK_FALSE(announced(other));
+  CHECK_FALSE(network.node(other).IsUsableBalancer(balancer));
+  network.Record(1, MakeZoneRecord(2, false));
+  network.RunFor(std::chrono::seconds(3));
+  CHECK_FALSE(announced(evacuated));
+  CHECK(network.node(other).IsUsableBalancer(balancer));
+}
+
 TEST_CASE("A stopping balancer is not selected for responses") {
   ControlNetwork network(5);
   for (int i = 0; i < 3; ++i) network.Add();
--- a/tests/support/virtual_cluster.cc
+++ b/tests/support/virtual_cluster.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "configuration/zone_mode.h"
+
 namespace sesamesaddle {
 namespace {
 
@@ -26,9 +28,10 @@
 
 // ---- Setup.
 
-size_t VirtualCluster::AddNode(const std::string& name) {
+size_t VirtualCluster::AddNode(const std::string& name, size_t rank) {
   auto node = std::make_unique<Node>();
   node->name = name;
+  node->zone = options_.zones[rank % options_.zones.size()];
   node->endpoint =
       Endpoint(INADDR_LOOPBACK, static_cast<uint16_t>(10000 + nodes_.size()));
   node->next_tick = now_ + Duration(random_.Below(kTick.count()));
@@ -44,7 +47,7 @@
   record.name = node.name;
   record.role = role;
   record.endpoint = node.endpoint.Pack();
-  record.zone = "zone";
+  record.zone = node.zone;
   record.incarnation = 0;
   record.state = schema::MemberState::kAlive;
   record.slots = static_cast<int32_t>(slots);
@@ -64,7 +67,8 @@
 }
 
 size_t VirtualCluster::AddBalancer() {
-  const size_t index = AddNode("balancer-" + std::to_string(balancers_.size()));
+  const size_t index = AddNode("balancer-" + std::to_string(balancers_.size()),
+                               balancers_.size());
   Node& node = *nodes_[index];
   node.balancer = std::make_unique<Balancer>(
       MakeRecord(node, schema::Role::kBalancer, 0), options_.balancer, random_);
@@ -74,7 +78,7 @@
 }
 
 size_t VirtualCluster::AddAgent(const std::string& name, size_t slots) {
-  const size_t index = AddNode(name);
+  const size_t index = AddNode(name, agents_.size());
   Node& node = *nodes_[index];
   AgentOptions options = options_.agent;
   options.runner.slots = slots;
@@ -143,6 +147,16 @@
   Configure(change);
 }
 
+void VirtualCluster::SetZoneMode(const std::string& zone, bool evacuated) {
+  schema::SetZoneMode set;
+  set.zone = zone;
+  set.evacuated = evacuated;
+  schema::Change change;
+  change.__set_set_zone_mode(set);
+  AddInstanceForm(change);
+  Configure(change);
+}
+
 // ---- Failures.
 
 void VirtualCluster::KillAgent(size_t i) {
--- a/tests/support/virtual_cluster.h
+++ b/tests/support/virtual_cluster.h
@@ -34,6 +34,8 @@
   uint64_t duplicate_percent = 0;
   Duration shortest_delay = std::chrono::microseconds(300);
   Duration longest_delay = std::chrono::microseconds(1500);
+  /** Availability zones; agents and balancers are spread over them in turn. */
+  std::vector<std::string> zones = {"zone"};
   BalancerOptions balancer;
   AgentOptions agent;
 };
@@ -61,6 +63,7 @@
                   schema::Priority::type priority = schema::Priority::kNormal,
                   int deadline_ms = 10000);
   void SetMode(const std::string& instance, schema::InstanceMode::type mode);
+  void SetZoneMode(const std::string& zone, bool evacuated);
 
   // Failures.
   void KillAgent(size_t i);
@@ -82,6 +85,9 @@
   Balancer& balancer(size_t i) { return *nodes_[balancers_[i]]->balancer; }
   FakeTarget& target(size_t i) { return nodes_[agents_[i]]->target; }
   bool running_agent(size_t i) const { return nodes_[agents_[i]]->running; }
+  const std::string& zone_of_agent(size_t i) const {
+    return nodes_[agents_[i]]->zone;
+  }
   size_t agent_count() const { return agents_.size(); }
   size_t balancer_count() const { return balancers_.size(); }
   std::vector<std::unique_ptr<VirtualCaller>>& callers() { return callers_; }
@@ -98,6 +104,7 @@
  private:
   struct Node {
     std::string name;
+    std::string zone;
     Endpoint endpoint;
     std::unique_ptr<Agent> agent;
     std::unique_ptr<Balancer> balancer;
@@ -115,7 +122,8 @@
 
   schema::MemberRecord MakeRecord(const Node& node, schema::Role::type role,
                                   size_t slots);
-  size_t AddNode(const std::string& name);
+  /** Adds a process; `rank` is its number among those of its role. */
+  size_t AddNode(const std::string& name, size_t rank);
   void PauseNode(size_t index, bool paused);
   void AddSeedsTo(ControlPlane& control);
   ControlPlane& ControlOf(Node& node);
