--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -124,6 +124,9 @@
     }
     return;
   }
+  if (!retransmission && RefuseIfEvacuated(now, balancer, flow, packet, size)) {
+    return;
+  }
   const int slots = target_monitor_.announcement().slots;
   const SynTimes times = SynTimes::Unpack(header.echo);
   if (retransmission ||
