Zones and load of packet flows: show zones, show load, and the store key

An operator who empties a zone of packet flows saw neither its state nor how much still ran there; a change was refused without a word on where to make it. A balancer lists zones (state, targets, flows, requests in progress) and the load of each service in each zone; an agent lists its own zone. evacuate zone and restore zone are refused with the key to write, whose prefix comes from the platform's adapter.

--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -194,6 +194,10 @@
   bool failing() const { return failing_; }
   /** Whether the agent's zone is evacuated, so that it refuses new flows. */
   bool zone_evacuated() const { return zones_.Evacuated(options_.zone); }
+  /** Returns the state of the agent's zone, or null if it has none. */
+  const ZoneEvacuation* zone_state() const {
+    return zones_.Find(options_.zone);
+  }
   /** Whether any balancer is active, so that reports may be due. */
   bool busy() const { return !balancers_.empty(); }
   /** Whether a report should be sent before the period ends. */
--- a/packages/steering_daemon/include/steering_daemon/agent_process.h
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -76,7 +76,7 @@
   std::unique_ptr<PacketSocket> balancer_socket_;
   std::unique_ptr<PacketSocket> target_socket_;
   std::unique_ptr<PacketSocket> control_socket_;
-  SteeringCommands commands_{*this};
+  SteeringCommands commands_{*this, deps_.decoder.evacuation_prefix()};
   StatusServer status_server_;
   EventLoop::Timer report_timer_;
   EventLoop::Timer housekeeping_timer_;
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -107,7 +107,7 @@
   std::unique_ptr<PacketSocket> client_socket_;
   std::unique_ptr<PacketSocket> agent_socket_;
   std::unique_ptr<PacketSocket> control_socket_;
-  SteeringCommands commands_{*this};
+  SteeringCommands commands_{*this, deps_.decoder.evacuation_prefix()};
   StatusServer status_server_;
   EventLoop::Timer tick_timer_;
   EventLoop::Timer housekeeping_timer_;
--- a/packages/steering_daemon/include/steering_daemon/steering_commands.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_commands.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <tl/expected.hpp>
+#include <utility>
 
 #include "admin_types.h"
 #include "command/command.h"
@@ -26,16 +27,23 @@
  */
 class SteeringCommands : public CommandExecutor {
  public:
-  /** @param tables  must outlive this object */
-  explicit SteeringCommands(const TableProvider& tables) : tables_(tables) {}
+  /**
+   * @param tables             must outlive this object
+   * @param evacuation_prefix  prefix of the store keys of evacuated zones, for
+   *                           the replies to commands that need the store
+   */
+  SteeringCommands(const TableProvider& tables, std::string evacuation_prefix)
+      : tables_(tables), evacuation_prefix_(std::move(evacuation_prefix)) {}
 
   void Execute(const std::string& text, const CommandOptions& options,
                Done done) override;
 
  private:
   schema::CommandReply Answer(const Query& query) const;
+  schema::CommandReply Refuse(const schema::Change& change) const;
 
   const TableProvider& tables_;
+  std::string evacuation_prefix_;
 };
 
 }  // namespace sesamesaddle
--- a/packages/steering_daemon/include/steering_daemon/steering_tables.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_tables.h
@@ -8,6 +8,7 @@
 #include "admin_types.h"
 #include "command/command.h"
 #include "placement/target_directory.h"
+#include "placement/zone_evacuations.h"
 #include "steering/flow_agent.h"
 #include "steering/flow_balancer.h"
 #include "steering_daemon/replica_exchange.h"
@@ -19,6 +20,7 @@
   TimePoint now;
   const FlowBalancer& balancer;
   const TargetDirectory& directory;
+  const ZoneEvacuations& zones;
   const std::map<std::string, ReplicaExchange::Peer>& peers;
   /** Store revision of the last write of the configuration. */
   int64_t configuration_revision;
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -436,7 +436,7 @@
     Subject subject) const {
   return MakeTable(
       subject, BalancerTableSources{deps_.loop.Now(), balancer_, directory_,
-                                    exchange_.peers(),
+                                    zones_, exchange_.peers(),
                                     follower_.configuration_revision().number});
 }
 
--- a/packages/steering_daemon/src/steering_commands.cc
+++ b/packages/steering_daemon/src/steering_commands.cc
@@ -25,10 +25,28 @@
   } else if (std::holds_alternative<HelpRequest>(*command)) {
     done(MakeReply(schema::CommandOutcome::kDone, kCommandHelp));
   } else {
-    done(MakeReply(schema::CommandOutcome::kRefused, kChangesRefused));
+    done(Refuse(std::get<schema::Change>(*command)));
   }
 }
 
+schema::CommandReply SteeringCommands::Refuse(
+    const schema::Change& change) const {
+  if (!change.__isset.set_zone_mode) {
+    return MakeReply(schema::CommandOutcome::kRefused, kChangesRefused);
+  }
+  const schema::SetZoneMode& zone_mode = change.set_zone_mode;
+  const std::string key = evacuation_prefix_ + zone_mode.zone;
+  const std::string action =
+      zone_mode.evacuated
+          ? "evacuate zone " + zone_mode.zone + ", write " + key +
+                " with any value"
+          : "restore zone " + zone_mode.zone + ", remove " + key;
+  return MakeReply(schema::CommandOutcome::kRefused,
+                   "refused: on packet flows the platform's operators evacuate "
+                   "zones in its store: to " +
+                       action);
+}
+
 schema::CommandReply SteeringCommands::Answer(const Query& query) const {
   const auto table =
       tables_.BuildTable(query.subject).and_then([&query](const auto& whole) {
--- a/packages/steering_daemon/src/steering_tables.cc
+++ b/packages/steering_daemon/src/steering_tables.cc
@@ -1,6 +1,7 @@
 #include "steering_daemon/steering_tables.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -120,6 +121,92 @@
   return table.Build();
 }
 
+const std::vector<std::string> kZoneColumns = {
+    "name", "evacuated", "since_ms", "targets", "flows", "in_progress"};
+
+/** Totals of the targets in one zone. */
+struct ZoneTotals {
+  int64_t targets = 0;
+  int64_t flows = 0;
+  int64_t in_progress = 0;
+};
+
+/** @param state  of the zone; null if it was never evacuated */
+std::vector<std::string> ZoneRow(TimePoint now, const std::string& name,
+                                 const ZoneEvacuation* state,
+                                 const ZoneTotals& totals) {
+  const bool since_known = state != nullptr && state->since != TimePoint();
+  return {name,
+          YesNo(state != nullptr && state->evacuated),
+          since_known ? Milliseconds(now - state->since) : "-",
+          Number(totals.targets),
+          Number(totals.flows),
+          Number(totals.in_progress)};
+}
+
+schema::Table ZonesTable(const BalancerTableSources& sources) {
+  std::map<std::string, ZoneTotals> zones;
+  for (const auto& [name, state] : sources.zones.zones()) zones[name];
+  for (const AgentView* view : sources.directory.All()) {
+    ZoneTotals& totals = zones[view->record.zone];
+    ++totals.targets;
+    totals.flows += view->flows;
+    totals.in_progress += view->in_flight;
+  }
+  TableBuilder table(kZoneColumns);
+  for (const auto& [name, totals] : zones) {
+    table.Add(ZoneRow(sources.now, name, sources.zones.Find(name), totals));
+  }
+  return table.Build();
+}
+
+/** Totals of the targets of one service in one zone. */
+struct LoadTotals {
+  int64_t targets = 0;
+  int64_t usable = 0;
+  int64_t slots = 0;
+  int64_t free = 0;
+  int64_t in_progress = 0;
+  int64_t queued = 0;
+  int64_t cold = 0;
+};
+
+/** Returns the slots that are left for new flows. */
+int FreeSlots(const AgentView& view) {
+  const int work =
+      view.in_flight + view.opening + view.queued + view.placed_since_report;
+  return std::max(0, view.record.slots - work);
+}
+
+bool Cold(TimePoint now, const AgentView& view) {
+  return now - view.listed_since <
+         std::chrono::milliseconds(view.record.slow_start_ms);
+}
+
+schema::Table LoadTable(const BalancerTableSources& sources) {
+  std::map<std::pair<std::string, std::string>, LoadTotals> loads;
+  for (const AgentView* view : sources.directory.All()) {
+    LoadTotals& totals = loads[{view->record.service_name, view->record.zone}];
+    const bool usable = sources.directory.Usable(sources.now, *view);
+    ++totals.targets;
+    totals.usable += usable ? 1 : 0;
+    totals.slots += view->record.slots;
+    totals.free += usable ? FreeSlots(*view) : 0;
+    totals.in_progress += view->in_flight;
+    totals.queued += view->queued;
+    totals.cold += Cold(sources.now, *view) ? 1 : 0;
+  }
+  TableBuilder table({"service", "zone", "targets", "usable", "slots", "free",
+                      "in_progress", "queued", "cold"});
+  for (const auto& [service_zone, totals] : loads) {
+    table.Add({service_zone.first, service_zone.second, Number(totals.targets),
+               Number(totals.usable), Number(totals.slots), Number(totals.free),
+               Number(totals.in_progress), Number(totals.queued),
+               Number(totals.cold)});
+  }
+  return table.Build();
+}
+
 schema::Table OwnTargetTable(const AgentTableSources& sources) {
   TableBuilder table({"name", "zone", "service", "state", "slots", "waiting",
                       "queued", "flows", "response_ms", "failing"});
@@ -135,6 +222,18 @@
   return table.Build();
 }
 
+schema::Table OwnZoneTable(const AgentTableSources& sources) {
+  const FlowAgent& agent = sources.agent;
+  ZoneTotals totals;
+  totals.targets = agent.target_monitor().known() ? 1 : 0;
+  totals.flows = static_cast<int64_t>(agent.flow_count());
+  totals.in_progress = agent.in_flight();
+  TableBuilder table(kZoneColumns);
+  table.Add(
+      ZoneRow(sources.now, sources.target.zone, agent.zone_state(), totals));
+  return table.Build();
+}
+
 schema::Table FlowsTable(const AgentTableSources& sources) {
   TableBuilder table(
       {"caller", "service", "balancer", "state", "waiting", "idle_ms"});
@@ -170,6 +269,10 @@
       return FlowsTable(sources);
     case Subject::kChanges:
       return VersionTable(sources);
+    case Subject::kZones:
+      return ZonesTable(sources);
+    case Subject::kLoad:
+      return LoadTable(sources);
   }
   return tl::unexpected(std::string("there is no such table"));
 }
@@ -183,6 +286,12 @@
       return PeersTable(sources);
     case Subject::kFlows:
       return FlowsTable(sources);
+    case Subject::kZones:
+      return OwnZoneTable(sources);
+    case Subject::kLoad:
+      return tl::unexpected(std::string(
+          "an agent knows the load of its own target only (show targets); ask "
+          "a balancer"));
     case Subject::kServices:
     case Subject::kChanges:
       break;
