--- a/tests/process/run.sh
+++ b/tests/process/run.sh
@@ -125,6 +125,45 @@
   expect_unbroken
 }
 
+# The agents 0, 3, 6 and 9 are in the first zone.
+scenario_evacuate_zone() {
+  local i zone="${ZONES[0]}"
+  load 24 100
+  sleep 2
+  expect_code 0 operator --wait "evacuate zone $zone"
+  expect_text "in force at 13 of 13 processes"
+  for i in 0 3 6 9; do
+    wait_until 20 no_flows "$i" || fail "agent-$i of the evacuated zone still has flows"
+  done
+  # A balancer and an agent of the zone that start now know its state.
+  stop balancer-1 KILL
+  start_balancer 1
+  stop agent-3 TERM
+  start_agent 3
+  wait_until 20 ready "$(balancer_admin 1)" || fail "balancer-1 is not ready"
+  wait_until 20 ready "$(agent_admin 3)" || fail "agent-3 is not ready"
+  local before=() after
+  for i in 0 3 6 9; do before[i]="$(metric "$(agent_admin "$i")" completed_total)"; done
+  sleep 2
+  OPERATOR_AT=1 expect_code 0 operator "show zones where name = $zone and evacuated = yes"
+  expect_text "(1 row)"
+  for i in 0 3 6 9; do
+    expect no_flows "$i"
+    after="$(metric "$(agent_admin "$i")" completed_total)"
+    [ "$after" = "${before[i]}" ] || fail "agent-$i completed $after requests, not ${before[i]}"
+  done
+  expect_code 1 operator "evacuate zone $zone"
+  expect_text "zone $zone is evacuated already"
+  expect operator --wait "restore zone $zone"
+  end_load
+  expect_unbroken
+  # Flows stay with their owners, which lend requests to the restored targets.
+  for i in 0 3 6; do
+    after="$(metric "$(agent_admin "$i")" completed_total)"
+    [ "$after" -gt "${before[i]}" ] || fail "agent-$i of the restored zone got no work"
+  done
+}
+
 scenario_kill_balancer() {
   load 14 150
   sleep 3
