--- a/packages/flow_model/src/route_table.cc
+++ b/packages/flow_model/src/route_table.cc
@@ -42,6 +42,11 @@
   return it == routes.end() ? nullptr : &it->second;
 }
 
+const SlowStart* RouteTable::FindSlowStart(const std::string& service) const {
+  const auto it = slow_starts.find(service);
+  return it == slow_starts.end() ? nullptr : &it->second;
+}
+
 const std::string& PickService(const Route& route, const Flow& flow) {
   constexpr uint64_t kSeed =
       0x5e;  // Makes the choice independent of that of a target.
