--- a/packages/admission/include/admission/slow_start_limiter.h
+++ b/packages/admission/include/admission/slow_start_limiter.h
@@ -25,13 +25,18 @@
    */
   static constexpr size_t kMaxLimit = 10000;
 
+  /** Returns the flows per window that a limit allows. */
+  static size_t FlowsPerWindow(double flows_per_second);
+
   /** Sets the time until which the target is in slow start. */
   void SetColdUntil(TimePoint until) { cold_until_ = until; }
   /**
    * Sets the limit, rounded down and at least 1 flow per window.
    * @param flows_per_second  above 0
    */
-  void SetLimit(double flows_per_second);
+  void SetLimit(double flows_per_second) {
+    limit_ = FlowsPerWindow(flows_per_second);
+  }
   void ClearLimit() { limit_.reset(); }
   /**
    * Sets the time from which all flows to the target were recorded here. There
--- a/packages/admission/src/slow_start_limiter.cc
+++ b/packages/admission/src/slow_start_limiter.cc
@@ -4,10 +4,9 @@
 
 namespace sesamesaddle {
 
-void SlowStartLimiter::SetLimit(double flows_per_second) {
-  const double clipped =
-      std::clamp(flows_per_second, 1.0, static_cast<double>(kMaxLimit));
-  limit_ = static_cast<size_t>(clipped);
+size_t SlowStartLimiter::FlowsPerWindow(double flows_per_second) {
+  return static_cast<size_t>(
+      std::clamp(flows_per_second, 1.0, static_cast<double>(kMaxLimit)));
 }
 
 std::optional<size_t> SlowStartLimiter::Room(TimePoint now) const {
--- a/packages/placement/include/placement/placement.h
+++ b/packages/placement/include/placement/placement.h
@@ -75,6 +75,11 @@
   /** Removes failing targets from `usable`, except for occasional trials. */
   static void ExcludeFailing(TimePoint now, const PlacementRequest& request,
                              std::vector<AgentView*>& usable);
+  /**
+   * Removes targets in slow start that have no room, unless no target has any.
+   */
+  static void ExcludeWithoutRoom(TimePoint now,
+                                 std::vector<AgentView*>& usable);
   /** @param median_ms  median response time of the service, 0 if unknown */
   AgentView* LowestCost(TimePoint now, const PlacementRequest& request,
                         double median_ms,
--- a/packages/placement/include/placement/target_directory.h
+++ b/packages/placement/include/placement/target_directory.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,17 @@
   bool listed = true;
   TimePoint unlisted_since{};
   TimePoint listed_since{};
+  /** Time at which the record's `slow_start_ms` was learned. */
+  TimePoint slow_start_since{};
+  /**
+   * New flows that the target accepts within a second, as last reported;
+   * nothing if its agent does not limit it.
+   */
+  std::optional<int> slow_start_room;
+  /** Version of the configuration whose limit this balancer last sent. */
+  int64_t limit_sent = 0;
+  /** Notices of the limit since it or the record's slow start changed. */
+  int limit_notices = 0;
   /** Time at which its zone was restored after an evacuation, if ever. */
   TimePoint zone_restored{};
 
@@ -61,6 +73,14 @@
 /** Returns the requests per slot: those reported and those placed since. */
 double WorkPerSlot(TimePoint now, const AgentView& view);
 
+/** Whether the target is in slow start, by its record or its agent's report. */
+bool InSlowStart(TimePoint now, const AgentView& view);
+/**
+ * Whether a target in slow start accepts one more flow, by the last report and
+ * the flows placed since; true for any other target.
+ */
+bool HasSlowStartRoom(TimePoint now, const AgentView& view);
+
 /** The targets known to a balancer, from the store and from reports. */
 class TargetDirectory {
  public:
--- a/packages/placement/src/placement.cc
+++ b/packages/placement/src/placement.cc
@@ -135,6 +135,7 @@
     if (directory_.Usable(now, *view)) usable.push_back(view);
   }
   if (ShouldExcludeFailing(agents)) ExcludeFailing(now, request, usable);
+  ExcludeWithoutRoom(now, usable);
   const double median_ms = MedianResponseMs(usable);
   AgentView* best = LowestCost(now, request, median_ms,
                                FlowCandidates(request.flow, topology_, usable));
@@ -168,6 +169,16 @@
                usable.end());
 }
 
+void LeastWaitPlacement::ExcludeWithoutRoom(TimePoint now,
+                                            std::vector<AgentView*>& usable) {
+  const auto first_without = std::stable_partition(
+      usable.begin(), usable.end(),
+      [now](const AgentView* view) { return HasSlowStartRoom(now, *view); });
+  if (first_without != usable.begin()) {
+    usable.erase(first_without, usable.end());
+  }
+}
+
 AgentView* LeastWaitPlacement::LowestCost(
     TimePoint now, const PlacementRequest& request, double median_ms,
     const std::vector<AgentView*>& agents) const {
--- a/packages/placement/src/target_directory.cc
+++ b/packages/placement/src/target_directory.cc
@@ -9,13 +9,16 @@
 
 // Share of its slots that is assumed for a target during its slow start.
 constexpr double kSlowStartShare = 0.6;
+// The reported room of a slow start is for a sliding second. After that the
+// balancer places one flow, which brings a new report.
+constexpr Duration kRoomValidity = std::chrono::seconds(1);
+constexpr int kRoomWithoutReport = 1;
 
 }  // namespace
 
 double WorkPerSlot(TimePoint now, const AgentView& view) {
   double slots = std::max(1, view.record.slots);
-  const auto slow_start = std::chrono::milliseconds(view.record.slow_start_ms);
-  if (now - view.listed_since < slow_start) slots *= kSlowStartShare;
+  if (InSlowStart(now, view)) slots *= kSlowStartShare;
   if (view.zone_restored != TimePoint()) {
     slots *= ZoneEvacuations::RestoredShare(now - view.zone_restored);
   }
@@ -24,6 +27,18 @@
   return work / slots;
 }
 
+bool InSlowStart(TimePoint now, const AgentView& view) {
+  const auto slow_start = std::chrono::milliseconds(view.record.slow_start_ms);
+  return view.slow_start_room || now - view.slow_start_since < slow_start;
+}
+
+bool HasSlowStartRoom(TimePoint now, const AgentView& view) {
+  if (!view.slow_start_room) return true;
+  const bool outdated = view.reported && now - view.last_report > kRoomValidity;
+  const int room = outdated ? kRoomWithoutReport : *view.slow_start_room;
+  return view.placed_since_report < room;
+}
+
 void TargetDirectory::Put(TimePoint now, const std::string& key,
                           const schema::TargetRecord& record,
                           StoreRevision revision) {
@@ -38,6 +53,13 @@
     view = AgentView();
     view.listed_since = now;
   }
+  // An entry that is written again after a lapse repeats the former value.
+  if (other_target || record.slow_start_ms != view.record.slow_start_ms) {
+    view.slow_start_since = now;
+    view.slow_start_room.reset();
+    view.limit_sent = 0;
+    view.limit_notices = 0;
+  }
   view.record = record;
   view.zone_restored = RestoredAt(record.zone);
   view.agent = agent;
@@ -117,6 +139,9 @@
   view->reported = true;
   view->unanswered_probes = 0;
   view->restarting = report.restarting;
+  view->slow_start_room = report.__isset.slow_start_room
+                              ? std::make_optional<int>(report.slow_start_room)
+                              : std::nullopt;
   if (report.failing && !view->failing) {
     view->next_trial = now + kTrialPeriod;
   }
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "admission/handshake_time_estimator.h"
+#include "admission/slow_start_limiter.h"
 #include "admission/syn_queue.h"
 #include "core/endpoint.h"
 #include "core/event_log.h"
@@ -61,6 +62,8 @@
   /** SYNs refused or returned because the zone is evacuated. */
   int64_t refused_evacuated = 0;
   int64_t queued = 0;
+  /** SYNs queued because a target in slow start had no room. */
+  int64_t held_slow_start = 0;
   int64_t yielded = 0;
   int64_t returned_by_target = 0;
   int64_t not_held = 0;
@@ -152,6 +155,12 @@
   /** Handles a balancer's notice of the operators' settings. */
   void OnNotice(TimePoint now, const Endpoint& balancer,
                 const schema::AgentNotice& notice);
+  /**
+   * Called when the agent's zone is no longer evacuated. Its target may have
+   * been replaced shortly before, so it counts as in slow start until its next
+   * announcement shows otherwise.
+   */
+  void OnZoneRestored(TimePoint now);
   /** Handles a packet that the target sent or returned. */
   void OnTargetPacket(TimePoint now, char* packet, size_t size);
   AnnouncementEffect OnAnnouncement(TimePoint now,
@@ -189,6 +198,8 @@
   std::vector<AgentPeer> Peers(TimePoint now) const;
   Duration response_time() const { return response_time_; }
   size_t queued() const { return queue_.size(); }
+  /** Limit of new flows while the target is in slow start. */
+  const SlowStartLimiter& slow_start() const { return slow_start_; }
   int in_flight() const { return in_flight_; }
   /** Whether the target fails requests, whatever its health check reports. */
   bool failing() const { return failing_; }
@@ -238,6 +249,8 @@
     bool report_owed = false;
     bool urgent = false;
     int reported_in_flight = 0;
+    /** SlowStartLimiter::Room in the last report. */
+    std::optional<size_t> reported_room;
     std::vector<Flow> accepted;
     std::vector<Flow> held;
     std::vector<Flow> not_held;
@@ -272,6 +285,26 @@
    */
   bool ApplyZone(TimePoint now, const Endpoint& balancer,
                  const schema::ZoneState& state);
+  /** Whether the target may get a new flow: by its slots and its slow start. */
+  bool HasRoom(TimePoint now) const;
+  /** Counts a SYN that was queued for lack of room in the slow start. */
+  void RecordHeldSyn(TimePoint now, const Endpoint& balancer);
+  /**
+   * Learns how long the target stays in slow start.
+   * @return whether it was not in slow start before
+   */
+  bool LearnColdTime(TimePoint now, const TargetAnnouncement& announcement);
+  /**
+   * Applies the limit of a notice, or its absence, unless a later version of
+   * the configuration is known.
+   * @return whether the limit is valid
+   */
+  bool ApplySlowStart(TimePoint now, const Endpoint& balancer,
+                      const schema::AgentNotice& notice);
+  /** Sets the cold time from the notice while no announcement has told it. */
+  void AssumeColdTime();
+  /** Logs and reports when the target begins or ceases to be limited. */
+  void UpdateLimited(TimePoint now);
   void OnData(TimePoint now, const Endpoint& balancer,
               const PacketHeader& header, char* packet, size_t size);
   void DeliverToTarget(TimePoint now, const PacketHeader& header,
@@ -334,6 +367,18 @@
   FlowAgentCounters counters_;
   FlowMap flows_;
   SynQueue queue_;
+  SlowStartLimiter slow_start_;
+  /** Version of the latest configuration that a notice named. */
+  int64_t slow_start_version_ = 0;
+  /** Duration of the service's slow start, from the notice. */
+  Duration slow_start_duration_{};
+  /**
+   * Start of a slow start that no announcement has confirmed or denied yet: the
+   * start of this process or the restoration of its zone.
+   */
+  std::optional<TimePoint> assumed_cold_since_;
+  /** Limit in force, as last logged; nothing while the target is warm. */
+  std::optional<size_t> limited_to_;
   std::unordered_map<Endpoint, BalancerState> balancers_;
   /** Balancers by their index in the echo field. */
   std::vector<Endpoint> echo_balancers_;
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -303,6 +303,16 @@
   bool LacksNotice(const AgentView& agent,
                    const schema::AgentReport& report) const;
   void SendNotices(TimePoint now);
+  void SendNotice(TimePoint now, AgentView& agent);
+  /** Records which services have another limit than before. */
+  void OnLimitsChanged(TimePoint now,
+                       const std::map<std::string, SlowStart>& before);
+  /** Whether the agent needs a notice of its service's slow start limit. */
+  bool LacksLimit(TimePoint now, const AgentView& agent) const;
+  /** Returns when this balancer learned what LacksLimit is about. */
+  TimePoint LimitKnownSince(const AgentView& agent) const;
+  /** Sends the limit before the first SYN to a target in slow start. */
+  void NotifyBeforeSyn(TimePoint now, AgentView& agent);
   /** Returns what the agent needs of the operators' settings. */
   schema::AgentNotice MakeNotice(const AgentView& agent) const;
   void StartSearch(TimePoint now, const Flow& flow, const PacketHeader& header,
@@ -341,6 +351,13 @@
   Endpoint last_reference_;
   ReportRateController report_rate_;
   NoticeSchedule notices_;
+  /** A version of the configuration, and when this process learned it. */
+  struct LimitChange {
+    int64_t version = 0;
+    TimePoint since{};
+  };
+  /** The latest change of each service's slow start limit. */
+  std::map<std::string, LimitChange> limit_changes_;
   int64_t solicited_before_ = 0;
   TimePoint next_sweep_{};
   FlowBalancerCounters counters_;
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -17,9 +17,6 @@
 constexpr size_t kMaxEchoBalancers = 0xffff;
 // Each new response time moves the average by 1 / kResponseTimeDivisor.
 constexpr int kResponseTimeDivisor = 8;
-// Time after which a flow is dropped whose target sent the SYN-ACK, but whose
-// client sent nothing further.
-constexpr Duration kOpeningTimeout = std::chrono::seconds(3);
 
 Flow ClientFlow(const PacketHeader& header) {
   return {header.source, header.destination};
@@ -42,7 +39,8 @@
       output_(output),
       log_(log),
       response_times_(response_times),
-      started_(now) {}
+      started_(now),
+      assumed_cold_since_(now) {}
 
 const std::string& FlowAgent::service() const {
   return target_monitor_.known() ? target_monitor_.announcement().service
@@ -131,9 +129,7 @@
   }
   const int slots = target_monitor_.announcement().slots;
   const SynTimes times = SynTimes::Unpack(header.echo);
-  if (retransmission ||
-      (queue_.empty() &&
-       SynQueue::HasRoom(in_flight_ + expected_requests_, slots))) {
+  if (retransmission || (queue_.empty() && HasRoom(now))) {
     OpenFlow(now, balancer, flow, header.sequence, times.runs_once, packet,
              size);
     return;
@@ -150,6 +146,7 @@
   ++counters_.queued;
   // The balancer then doesn't try another target meanwhile.
   RecordContact(now, balancer).accepted.push_back(flow);
+  RecordHeldSyn(now, balancer);
 }
 
 void FlowAgent::OpenFlow(TimePoint now, const Endpoint& balancer,
@@ -168,6 +165,7 @@
     entry.runs_once = runs_once;
     entry.opened = now;
     ExpectRequest(now, flow, entry);
+    slow_start_.Record(now);
   }
   entry.last_packet = now;
   entry.balancer = balancer;
@@ -385,7 +383,10 @@
     // the target started.
     saw_target_start_ = true;
   }
-  return effect;
+  const bool cold_again =
+      effect != AnnouncementEffect::kStale && LearnColdTime(now, announcement);
+  // Balancers learn from the entry that they should send the limit again.
+  return cold_again ? std::max(effect, AnnouncementEffect::kChanged) : effect;
 }
 
 bool FlowAgent::OnDeregister(TimePoint now, const std::string& id) {
@@ -477,25 +478,4 @@
   return echo_balancers_[index];
 }
 
-void FlowAgent::ExpireFlows(TimePoint now) {
-  for (auto it = flows_.begin(); it != flows_.end();) {
-    const FlowEntry& entry = it->second;
-    const Duration idle = now - entry.last_packet;
-    const Duration limit =
-        entry.state == FlowState::kEnded     ? kEndedFlowRetention
-        : entry.state == FlowState::kOpening ? kOpeningTimeout
-                                             : options_.flow_lifetime;
-    const auto next = std::next(it);
-    if (entry.request_in_flight && now - entry.request_sent > kMaxRequestTime) {
-      EndRequest(it->second);
-    }
-    if (idle > limit) Erase(it);
-    it = next;
-  }
-  for (auto it = offers_.begin(); it != offers_.end();) {
-    it = now - it->second.at > kMaxRequestTime ? offers_.erase(it)
-                                               : std::next(it);
-  }
-}
-
 }  // namespace sesamesaddle
--- a/packages/steering/src/flow_agent_notices.cc
+++ b/packages/steering/src/flow_agent_notices.cc
@@ -15,6 +15,7 @@
 void FlowAgent::OnNotice(TimePoint now, const Endpoint& balancer,
                          const schema::AgentNotice& notice) {
   if (notice.__isset.zone && !ApplyZone(now, balancer, notice.zone)) return;
+  if (!ApplySlowStart(now, balancer, notice)) return;
   // The report shows the balancer that the notice has arrived.
   RecordUrgentContact(now, balancer);
 }
@@ -39,7 +40,10 @@
       .Add("balancer", balancer)
       .Add("flows", flows_.size())
       .Add("queued", queue_.size());
-  if (!state.evacuated) return true;
+  if (!state.evacuated) {
+    OnZoneRestored(now);
+    return true;
+  }
   std::vector<QueuedSyn> queued = queue_.TakeAll();
   counters_.refused_evacuated += static_cast<int64_t>(queued.size());
   ReturnQueued(now, std::move(queued), HopKind::kRefused);
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -12,6 +12,9 @@
 
 constexpr char kLogComponent[] = "agent";
 constexpr Duration kSweepPeriod = std::chrono::seconds(1);
+// Time after which a flow is dropped whose target sent the SYN-ACK, but whose
+// client sent nothing further.
+constexpr Duration kOpeningTimeout = std::chrono::seconds(3);
 
 std::vector<schema::FlowKey> TakeKeys(std::vector<Flow>& flows, size_t limit) {
   std::vector<schema::FlowKey> keys;
@@ -24,9 +27,7 @@
 }  // namespace
 
 void FlowAgent::DispatchQueue(TimePoint now) {
-  const int slots = target_monitor_.announcement().slots;
-  while (!queue_.empty() &&
-         SynQueue::HasRoom(in_flight_ + expected_requests_, slots)) {
+  while (!queue_.empty() && HasRoom(now)) {
     auto syn = queue_.Pop(now);
     OpenFlow(now, syn->balancer, syn->flow, syn->sequence, syn->runs_once,
              syn->packet.data(), syn->packet.size());
@@ -86,6 +87,7 @@
 
 void FlowAgent::OnTick(TimePoint now) {
   urgent_ = false;
+  UpdateLimited(now);
   ExpireExpectedRequests(now);
   ExpireQueue(now);
   DispatchQueue(now);
@@ -107,6 +109,27 @@
   }
 }
 
+void FlowAgent::ExpireFlows(TimePoint now) {
+  for (auto it = flows_.begin(); it != flows_.end();) {
+    const FlowEntry& entry = it->second;
+    const Duration idle = now - entry.last_packet;
+    const Duration limit =
+        entry.state == FlowState::kEnded     ? kEndedFlowRetention
+        : entry.state == FlowState::kOpening ? kOpeningTimeout
+                                             : options_.flow_lifetime;
+    const auto next = std::next(it);
+    if (entry.request_in_flight && now - entry.request_sent > kMaxRequestTime) {
+      EndRequest(it->second);
+    }
+    if (idle > limit) Erase(it);
+    it = next;
+  }
+  for (auto it = offers_.begin(); it != offers_.end();) {
+    it = now - it->second.at > kMaxRequestTime ? offers_.erase(it)
+                                               : std::next(it);
+  }
+}
+
 bool FlowAgent::ReportDue(TimePoint now,
                           const BalancerState& balancer_state) const {
   if (balancer_state.urgent) return true;
@@ -116,7 +139,8 @@
   if (answers) return since >= kReportPeriod;
   const bool active = now - balancer_state.last_packet <= kBalancerIdleTimeout;
   const bool news = balancer_state.packets_since_report ||
-                    balancer_state.reported_in_flight != in_flight_;
+                    balancer_state.reported_in_flight != in_flight_ ||
+                    balancer_state.reported_room != slow_start_.Room(now);
   return active && news && since >= balancer_state.report_period;
 }
 
@@ -139,6 +163,11 @@
   report.unsure = TakeKeys(balancer_state.unsure, kMaxFlowsPerReport);
   report.__set_failing(failing_);
   if (const auto zone = zones_.Message(options_.zone)) report.__set_zone(*zone);
+  balancer_state.reported_room = slow_start_.Room(now);
+  if (balancer_state.reported_room) {
+    report.__set_slow_start_room(
+        static_cast<int32_t>(*balancer_state.reported_room));
+  }
   report.restarting = stopping_ && !target_monitor_.gone();
   balancer_state.packets_since_report = false;
   balancer_state.report_owed = false;
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -118,8 +118,9 @@
       placement_.Choose(now, request, directory_.OfService(picked));
   if (split_ == SplitMode::kStrict || route.services.size() < 2) return chosen;
   const std::optional<double> work =
-      chosen == nullptr ? std::nullopt
-                        : std::make_optional(WorkPerSlot(now, *chosen));
+      chosen == nullptr || !HasSlowStartRoom(now, *chosen)
+          ? std::nullopt
+          : std::make_optional(WorkPerSlot(now, *chosen));
   if (!SplitOverflow::IsSaturated(work)) return chosen;
   AgentView* other = ChooseOverflowTarget(now, route, request, picked, work);
   return other == nullptr ? chosen : other;
@@ -133,7 +134,7 @@
     if (share.service == picked || share.weight <= 0) continue;
     AgentView* other =
         placement_.Choose(now, request, directory_.OfService(share.service));
-    if (other == nullptr) continue;
+    if (other == nullptr || !HasSlowStartRoom(now, *other)) continue;
     if (SplitOverflow::Prefers(work, WorkPerSlot(now, *other))) return other;
   }
   return nullptr;
@@ -179,6 +180,7 @@
   entry.runs_once = route.kind == RequestKind::kRunsOnce;
   entry.syn_sequence = pending.sequence;
   entry.last_packet = now;
+  NotifyBeforeSyn(now, chosen);
   ++chosen.placed_since_report;
   LogLine(log_, EventKind::kFlowPlaced, kLogComponent, "flow-placed")
       .Add("flow", flow)
@@ -385,7 +387,9 @@
                          UpdateContinuity continuity) {
   if (routes.version < routes_.version) return;
   history_.Record(now, routes_, routes, continuity);
+  const auto limits_before = std::move(routes_.slow_starts);
   routes_ = std::move(routes);
+  OnLimitsChanged(now, limits_before);
   for (auto it = flows_.begin(); it != flows_.end();) {
     if (routes_.Find(it->first.service) != nullptr) {
       ++it;
--- a/packages/steering/src/flow_balancer_notices.cc
+++ b/packages/steering/src/flow_balancer_notices.cc
@@ -1,6 +1,8 @@
 // The part of FlowBalancer that handles evacuated zones and the notices to
 // agents.
 
+#include <algorithm>
+
 #include "steering/flow_balancer.h"
 
 namespace sesamesaddle {
@@ -12,6 +14,16 @@
   return {StoreEra(state.era), state.revision};
 }
 
+schema::SlowStartLimit ToMessage(const SlowStart& limit, int64_t version) {
+  schema::SlowStartLimit message;
+  // An agent refuses a duration of 0.
+  message.duration_ms = static_cast<int32_t>(
+      std::max<int64_t>(1, limit.duration / std::chrono::milliseconds(1)));
+  message.flows_per_second = limit.flows_per_second;
+  message.configuration_version = version;
+  return message;
+}
+
 }  // namespace
 
 void FlowBalancer::ApplyZone(TimePoint now, const schema::ZoneState& state,
@@ -55,7 +67,8 @@
 
 void FlowBalancer::OnAgentListed(TimePoint now, const Endpoint& agent) {
   const AgentView* view = directory_.Find(agent);
-  if (view == nullptr || !directory_.InEvacuatedZone(*view)) return;
+  if (view == nullptr) return;
+  if (!directory_.InEvacuatedZone(*view) && !LacksLimit(now, *view)) return;
   notices_.Begin(now, agent);
 }
 
@@ -67,6 +80,8 @@
   }
   if (LacksNotice(agent, report)) {
     notices_.OnOutdated(now, agent.agent, zones_.Find(zone)->known_since);
+  } else if (LacksLimit(now, agent)) {
+    notices_.OnOutdated(now, agent.agent, LimitKnownSince(agent));
   } else {
     notices_.OnConfirmed(agent.agent);
   }
@@ -86,13 +101,12 @@
 void FlowBalancer::SendNotices(TimePoint now) {
   if (notices_.idle()) return;
   for (const Endpoint& agent : notices_.TakeDue(now)) {
-    const AgentView* view = directory_.Find(agent);
+    AgentView* view = directory_.Find(agent);
     if (view == nullptr) {
       notices_.OnConfirmed(agent);
       continue;
     }
-    ++counters_.notices;
-    output_.Notify(agent, MakeNotice(*view));
+    SendNotice(now, *view);
   }
 }
 
@@ -102,6 +116,9 @@
     notice.__set_zone(*zone);
   }
   notice.configuration_version = routes_.version;
+  if (const auto* limit = routes_.FindSlowStart(agent.record.service_name)) {
+    notice.__set_slow_start(ToMessage(*limit, routes_.version));
+  }
   return notice;
 }
 
--- /dev/null
+++ b/packages/steering/src/flow_balancer_slow_start.cc
@@ -0,0 +1,79 @@
+// The part of FlowBalancer that sends the limits of slow starts to agents.
+
+#include <algorithm>
+
+#include "admission/slow_start_limiter.h"
+#include "steering/flow_balancer.h"
+
+namespace sesamesaddle {
+namespace {
+
+/** Returns the flows per second that an agent allows. */
+int AppliedLimit(const SlowStart& limit) {
+  return static_cast<int>(
+      SlowStartLimiter::FlowsPerWindow(limit.flows_per_second));
+}
+
+}  // namespace
+
+void FlowBalancer::OnLimitsChanged(
+    TimePoint now, const std::map<std::string, SlowStart>& before) {
+  std::set<std::string> changed;
+  for (const auto& [service, limit] : before) {
+    const SlowStart* current = routes_.FindSlowStart(service);
+    if (current == nullptr || !(*current == limit)) changed.insert(service);
+  }
+  for (const auto& [service, limit] : routes_.slow_starts) {
+    if (before.count(service) == 0) changed.insert(service);
+  }
+  for (const std::string& service : changed) {
+    limit_changes_[service] = {routes_.version, now};
+    for (AgentView* agent : directory_.OfService(service)) {
+      agent->limit_notices = 0;
+      if (InSlowStart(now, *agent)) notices_.Begin(now, agent->agent);
+    }
+  }
+}
+
+bool FlowBalancer::LacksLimit(TimePoint now, const AgentView& agent) const {
+  // An agent whose target is warm by now never shows room.
+  if (agent.limit_notices >= NoticeSchedule::kMaxNotices) return false;
+  const SlowStart* limit = routes_.FindSlowStart(agent.record.service_name);
+  const auto& room = agent.slow_start_room;
+  if (limit == nullptr) return room.has_value();
+  if (!room) return InSlowStart(now, agent);
+  // The room does not show which limit the agent applies. More room than the
+  // limit shows an outdated one; else each notifier sends the new limit once.
+  if (*room > AppliedLimit(*limit)) return true;
+  const auto change = limit_changes_.find(agent.record.service_name);
+  return change != limit_changes_.end() &&
+         agent.limit_sent < change->second.version &&
+         notices_.IsNotifierOf(agent.agent);
+}
+
+TimePoint FlowBalancer::LimitKnownSince(const AgentView& agent) const {
+  const auto change = limit_changes_.find(agent.record.service_name);
+  if (change == limit_changes_.end()) return agent.slow_start_since;
+  return std::max(agent.slow_start_since, change->second.since);
+}
+
+void FlowBalancer::NotifyBeforeSyn(TimePoint now, AgentView& agent) {
+  const SlowStart* limit = routes_.FindSlowStart(agent.record.service_name);
+  if (limit == nullptr || !InSlowStart(now, agent)) return;
+  if (agent.limit_sent >= limit_changes_[agent.record.service_name].version) {
+    return;
+  }
+  SendNotice(now, agent);
+  notices_.OnSent(now, agent.agent);
+  // Valid until the first report, which follows the SYN within 50 ms.
+  if (!agent.slow_start_room) agent.slow_start_room = AppliedLimit(*limit);
+}
+
+void FlowBalancer::SendNotice(TimePoint now, AgentView& agent) {
+  ++counters_.notices;
+  ++agent.limit_notices;
+  agent.limit_sent = std::max<int64_t>(agent.limit_sent, routes_.version);
+  output_.Notify(agent.agent, MakeNotice(agent));
+}
+
+}  // namespace sesamesaddle
--- /dev/null
+++ b/packages/steering/tests/slow_start_test.cc
@@ -0,0 +1,552 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <limits>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "silent_log.h"
+#include "steering_world.h"
+#include "target_fixtures.h"
+#include "test_packet_codec.h"
+
+namespace sesamesaddle {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kLimit = 10;
+constexpr Duration kSlowStart = seconds(20);
+
+RouteTable WithLimit(RouteTable routes, double flows_per_second,
+                     int64_t version) {
+  routes.version = version;
+  routes.slow_starts[SteeringWorld::kService] = {kSlowStart, flows_per_second};
+  return routes;
+}
+
+/** A world whose targets are warm, and whose service has a limit. */
+struct LimitedWorld : public SteeringWorld {
+  LimitedWorld(size_t balancers, size_t targets_count, uint64_t seed = 1)
+      : SteeringWorld(balancers, targets_count, seed) {
+    Configure(WithLimit(routes, kLimit, 2));
+    for (auto& target : targets) {
+      target->slots = 8;
+      target->queue_limit = 1000;
+    }
+    for (size_t i = 0; i < targets_count; ++i) Announce(i);
+  }
+
+  /** Starts the target anew, in slow start. */
+  void StartCold(size_t i, Duration slow_start = kSlowStart) {
+    targets[i]->Start();
+    targets[i]->accepted_at.clear();
+    cold_until[i] = scheduler.Now() + slow_start;
+    AnnounceStart(i);
+  }
+
+  /** Restarts the agent's process; its target announces itself later. */
+  void RestartAgent(size_t i, Duration until_announcement) {
+    KillAgent(i);
+    StartAgent(i);
+    RunFor(until_announcement);
+    Announce(i);
+  }
+};
+
+/** Returns the most flows that the target accepted in any sliding second. */
+int MostPerSecond(const VirtualTarget& target) {
+  const std::vector<TimePoint>& at = target.accepted_at;
+  int most = 0;
+  for (size_t first = 0, last = 0; last < at.size(); ++last) {
+    while (at[last] - at[first] > seconds(1)) ++first;
+    most = std::max(most, static_cast<int>(last - first + 1));
+  }
+  return most;
+}
+
+/** Lets idle clients send requests for a time. */
+void SendRequests(SteeringWorld& world, Duration time, Duration period) {
+  const TimePoint end = world.scheduler.Now() + time;
+  while (world.scheduler.Now() < end) {
+    for (auto& client : world.clients) {
+      if (client->busy()) continue;
+      client->Request("r" + std::to_string(world.random.Next()));
+    }
+    world.RunFor(period);
+  }
+}
+
+struct Totals {
+  int answered = 0;
+  int unanswered = 0;
+  Duration slowest{};
+};
+
+Totals TotalsOf(const SteeringWorld& world) {
+  Totals totals;
+  for (const auto& client : world.clients) {
+    for (const auto& [id, result] : client->results) {
+      ++(result.answered ? totals.answered : totals.unanswered);
+      totals.slowest = std::max(totals.slowest, result.took);
+    }
+  }
+  return totals;
+}
+
+// Each balancer alone sees a share of the flows only, so a limit at balancers
+// would be exceeded by their sum.
+TEST_CASE("Four balancers together keep to the limit of a cold target") {
+  LimitedWorld world(4, 4);
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  world.StartCold(0);
+  SendRequests(world, seconds(5), milliseconds(100));
+  world.RunFor(seconds(2));
+  CHECK(MostPerSecond(*world.targets[0]) <= kLimit);
+  // The limit is also used: a cold target has to warm up.
+  CHECK(world.targets[0]->accepted_flows >= 5 * kLimit / 2);
+  // 400 requests a second go on; the others serve what the cold one may not.
+  const Totals totals = TotalsOf(world);
+  CHECK(totals.unanswered == 0);
+  CHECK(totals.answered > 1500);
+  // A request that waits for room at the cold target takes 100 ms more.
+  CHECK(totals.slowest < milliseconds(160));
+  CHECK(world.agent(0)->counters().held_slow_start < totals.answered / 50);
+}
+
+TEST_CASE("A target takes the load of any other after its slow start") {
+  LimitedWorld world(2, 2);
+  for (int i = 0; i < 20; ++i) world.AddClient(false);
+  world.StartCold(0, seconds(2));
+  SendRequests(world, seconds(2), milliseconds(100));
+  CHECK(world.agent(0)->slow_start().Cold(world.scheduler.Now()) == false);
+  const int while_cold = world.targets[0]->accepted_flows;
+  SendRequests(world, seconds(2), milliseconds(100));
+  CHECK(while_cold <= 3 * kLimit);
+  CHECK(world.targets[0]->accepted_flows - while_cold > 100);
+}
+
+TEST_CASE(
+    "With all targets cold they serve up to the limit, priorities first") {
+  LimitedWorld world(4, 4);
+  const Endpoint urgent_route(0xc6120002, 443);
+  RouteTable routes = world.routes;
+  routes.version = 3;
+  for (auto& [address, route] : routes.routes) route.priority = 3;
+  Route urgent = routes.routes.begin()->second;
+  urgent.priority = 0;
+  routes.routes[urgent_route] = urgent;
+  world.Configure(routes);
+  // 40 flows a second fit; 20 urgent and 60 others ask for them.
+  std::vector<VirtualFlowClient*> important;
+  for (int i = 0; i < 80; ++i) {
+    const bool is_urgent = i % 4 == 0;
+    VirtualFlowClient& client = world.AddClient(
+        false, is_urgent ? urgent_route : SteeringWorld::RouteAddress());
+    if (is_urgent) important.push_back(&client);
+  }
+  for (size_t i = 0; i < 4; ++i) world.StartCold(i);
+  for (int second = 0; second < 8; ++second) {
+    for (auto& client : world.clients) {
+      if (!client->busy()) {
+        client->Request("r" + std::to_string(world.random.Next()));
+      }
+      world.RunFor(microseconds(12500));
+    }
+  }
+  world.RunFor(seconds(3));
+  int flows = 0;
+  for (const auto& target : world.targets) {
+    INFO("flows " << target->accepted_at.size());
+    CHECK(MostPerSecond(*target) <= kLimit);
+    flows += target->accepted_flows;
+  }
+  // Nine tenths of the capacity of 8 s.
+  CHECK(flows >= 8 * 4 * kLimit * 9 / 10);
+  int urgent_answered = 0;
+  int urgent_sent = 0;
+  for (const VirtualFlowClient* client : important) {
+    for (const auto& [id, result] : client->results) {
+      ++urgent_sent;
+      urgent_answered += result.answered;
+    }
+  }
+  const Totals totals = TotalsOf(world);
+  INFO(urgent_sent << " urgent " << urgent_answered << " all "
+                   << totals.answered << " of "
+                   << totals.answered + totals.unanswered << " flows "
+                   << flows);
+  CHECK(urgent_answered >= urgent_sent * 95 / 100);
+  CHECK(totals.answered >= 8 * 4 * kLimit * 8 / 10);
+}
+
+TEST_CASE("An agent that restarts beside a cold target keeps the limit") {
+  LimitedWorld world(4, 4);
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  world.StartCold(0);
+  SendRequests(world, milliseconds(1500), milliseconds(100));
+  // The former process's flows of the last second still count.
+  world.RestartAgent(0, milliseconds(100));
+  SendRequests(world, seconds(4), milliseconds(100));
+  world.RunFor(seconds(2));
+  CHECK(MostPerSecond(*world.targets[0]) <= kLimit);
+  CHECK(world.targets[0]->accepted_flows >= 2 * kLimit);
+  CHECK(world.agent(0)->slow_start().limit() == kLimit);
+}
+
+TEST_CASE("An agent that restarts knows the cold time from the announcement") {
+  LimitedWorld world(2, 2);
+  world.AddClient(false);
+  world.StartCold(0, seconds(10));
+  world.RunFor(seconds(7));
+  world.RestartAgent(0, milliseconds(500));
+  const TimePoint now = world.scheduler.Now();
+  CHECK(world.agent(0)->slow_start().Cold(now + milliseconds(2400)));
+  CHECK_FALSE(world.agent(0)->slow_start().Cold(now + milliseconds(2600)));
+}
+
+TEST_CASE("A changed limit takes effect and an older notice does not undo it") {
+  LimitedWorld world(4, 4);
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  world.StartCold(0);
+  SendRequests(world, seconds(2), milliseconds(100));
+  REQUIRE(world.agent(0)->slow_start().limit() == kLimit);
+  // One balancer stays with the older version.
+  RouteTable changed = WithLimit(world.routes, 3, 3);
+  for (size_t i = 1; i < 4; ++i) {
+    world.balancer(i)->Apply(world.scheduler.Now(), changed);
+  }
+  SendRequests(world, milliseconds(1500), milliseconds(100));
+  CHECK(world.agent(0)->slow_start().limit() == 3);
+  world.targets[0]->accepted_at.clear();
+  // The agent's entry is written again, which makes the older one notify, too.
+  world.List(0);
+  SendRequests(world, seconds(2), milliseconds(100));
+  CHECK(world.agent(0)->slow_start().limit() == 3);
+  CHECK(MostPerSecond(*world.targets[0]) <= 3);
+}
+
+TEST_CASE("A limit that the configuration drops ends") {
+  LimitedWorld world(4, 4);
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  world.StartCold(0);
+  SendRequests(world, seconds(1), milliseconds(100));
+  REQUIRE(world.agent(0)->slow_start().limit() == kLimit);
+  RouteTable without = world.routes;
+  without.version = 3;
+  without.slow_starts.clear();
+  world.Configure(without);
+  SendRequests(world, seconds(2), milliseconds(100));
+  CHECK_FALSE(world.agent(0)->slow_start().limit().has_value());
+  CHECK(MostPerSecond(*world.targets[0]) > kLimit);
+}
+
+TEST_CASE("A target that becomes cold again is limited again") {
+  LimitedWorld world(4, 4);
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  SendRequests(world, seconds(1), milliseconds(100));
+  CHECK(world.notices == 0);
+  CHECK(MostPerSecond(*world.targets[0]) > kLimit);
+  // The same start of the target: the agent alone sees the change.
+  world.cold_until[0] = world.scheduler.Now() + kSlowStart;
+  world.Announce(0);
+  world.RunFor(milliseconds(20));
+  world.targets[0]->accepted_at.clear();
+  SendRequests(world, seconds(3), milliseconds(100));
+  CHECK(MostPerSecond(*world.targets[0]) <= kLimit);
+  world.cold_until.clear();
+  world.Announce(0);
+  world.targets[0]->accepted_at.clear();
+  SendRequests(world, seconds(2), milliseconds(100));
+  CHECK(MostPerSecond(*world.targets[0]) > kLimit);
+}
+
+TEST_CASE("A lost notice is sent again") {
+  LimitedWorld world(4, 4);
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  world.lose_notices = true;
+  world.StartCold(0);
+  SendRequests(world, milliseconds(300), milliseconds(100));
+  CHECK_FALSE(world.agent(0)->slow_start().limit().has_value());
+  world.lose_notices = false;
+  SendRequests(world, milliseconds(600), milliseconds(100));
+  CHECK(world.agent(0)->slow_start().limit() == kLimit);
+  world.targets[0]->accepted_at.clear();
+  SendRequests(world, seconds(2), milliseconds(100));
+  CHECK(MostPerSecond(*world.targets[0]) <= kLimit);
+}
+
+// Only the agent knows the flows of all balancers, also without their reports.
+TEST_CASE("The limit holds while all reports are lost") {
+  LimitedWorld world(4, 4);
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  world.StartCold(0);
+  world.lose_reports = true;
+  SendRequests(world, seconds(3), milliseconds(100));
+  CHECK(MostPerSecond(*world.targets[0]) <= kLimit);
+}
+
+TEST_CASE("Notices of a limit are few, and none is sent without one") {
+  LimitedWorld world(6, 20);
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  SendRequests(world, seconds(2), milliseconds(100));
+  CHECK(world.notices == 0);
+  world.StartCold(0);
+  SendRequests(world, seconds(4), milliseconds(100));
+  // Three notifiers, and each balancer before its first SYN.
+  CHECK(world.notices >= 6);
+  CHECK(world.notices <= 3 + 6);
+
+  SteeringWorld unlimited(4, 4, 1);
+  for (int i = 0; i < 40; ++i) unlimited.AddClient(false);
+  unlimited.targets[0]->Start();
+  unlimited.cold_until[0] = unlimited.scheduler.Now() + kSlowStart;
+  unlimited.AnnounceStart(0);
+  SendRequests(unlimited, seconds(2), milliseconds(100));
+  CHECK(unlimited.notices == 0);
+  CHECK(MostPerSecond(*unlimited.targets[0]) > kLimit);
+  CHECK(unlimited.agent(0)->counters().held_slow_start == 0);
+}
+
+TEST_CASE("Repeated notices to an agent whose target is warm end") {
+  // A balancer that starts later takes the entry's slow start for its whole
+  // length, although the target is warm by now and never reports room.
+  LimitedWorld world(4, 4);
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  for (size_t i = 0; i < 4; ++i) world.StartCold(i, seconds(5));
+  world.RunFor(seconds(10));
+  world.KillBalancer(0);
+  world.StartBalancer(0);
+  const int before = world.notices;
+  SendRequests(world, seconds(5), milliseconds(100));
+  CHECK(world.notices - before <= 4 * NoticeSchedule::kMaxNotices);
+}
+
+// --- One agent --------------------------------------------------------------
+
+const TimePoint kNow(seconds(1000));
+const Endpoint kBalancer(0x0a020001, 7722);
+
+class CountingAgentOutput : public FlowAgentOutput {
+ public:
+  void ToTarget(std::string_view packet) override {
+    ++to_target;
+    unanswered.push_back(*codec.Decode(packet));
+  }
+  void ToClient(const Endpoint& /*client*/,
+                std::string_view /*packet*/) override {}
+  void ToBalancer(const Endpoint& /*balancer*/,
+                  std::string_view packet) override {
+    returned.push_back(codec.Decode(packet)->tag.kind);
+  }
+  void Report(const Endpoint& /*balancer*/,
+              const schema::AgentReport& report) override {
+    reports.push_back(report);
+  }
+
+  TestPacketCodec codec;
+  int to_target = 0;
+  std::vector<PacketHeader> unanswered;
+  std::vector<HopKind> returned;
+  std::vector<schema::AgentReport> reports;
+};
+
+class IgnoringObserver : public DurationObserver {
+ public:
+  void Observe(Duration /*duration*/) override {}
+};
+
+/** An agent with a target of many slots. */
+struct SingleAgent {
+  void Announce(TimePoint now, int slow_start_ms, int64_t sequence) {
+    TargetAnnouncement announcement;
+    announcement.id = "t";
+    announcement.born_ms = 1;
+    announcement.service = "orders";
+    announcement.slots = 100;
+    announcement.slow_start_ms = slow_start_ms;
+    announcement.sequence = sequence;
+    effect = agent.OnAnnouncement(now, announcement);
+  }
+
+  void Notify(TimePoint now, double flows_per_second, int64_t version,
+              int duration_ms = 20000) {
+    schema::AgentNotice notice;
+    notice.configuration_version = version;
+    schema::SlowStartLimit limit;
+    limit.duration_ms = duration_ms;
+    limit.flows_per_second = flows_per_second;
+    limit.configuration_version = version;
+    notice.__set_slow_start(limit);
+    agent.OnNotice(now, kBalancer, notice);
+  }
+
+  void Syn(TimePoint now, uint32_t flow, uint32_t copies = 0) {
+    PacketHeader header;
+    header.source = MakeFlow(flow).caller;
+    header.destination = MakeFlow(flow).service;
+    header.syn = true;
+    header.sequence = 77;
+    header.acknowledged = copies;
+    header.tag = {HopKind::kDirect, ServiceCheck("orders")};
+    std::string packet = TestPacketCodec::Encode(header);
+    agent.OnBalancerPacket(now, kBalancer, packet.data(), packet.size());
+    AnswerDelivered(now);
+  }
+
+  void Tick(TimePoint now) {
+    agent.OnTick(now);
+    AnswerDelivered(now);
+  }
+
+  /** Lets the target answer the SYNs that it got, so that it is not silent. */
+  void AnswerDelivered(TimePoint now) {
+    for (const PacketHeader& syn : std::exchange(output.unanswered, {})) {
+      PacketHeader answer;
+      answer.source = syn.destination;
+      answer.destination = syn.source;
+      answer.syn = answer.ack = true;
+      answer.sequence = 500;
+      std::string packet = TestPacketCodec::Encode(answer);
+      agent.OnTargetPacket(now, packet.data(), packet.size());
+    }
+  }
+
+  /** Returns the room in the next report; -1 if it has none. */
+  int ReportedRoom(TimePoint now) {
+    output.reports.clear();
+    agent.OnQuery(now, kBalancer, schema::FlowQuery());
+    agent.OnTick(now);
+    const schema::AgentReport& report = output.reports.back();
+    return report.__isset.slow_start_room ? report.slow_start_room : -1;
+  }
+
+  CountingAgentOutput output;
+  SilentLog log;
+  IgnoringObserver observer;
+  AnnouncementEffect effect = AnnouncementEffect::kUnchanged;
+  FlowAgent agent{
+      kNow,         {Endpoint(0x0a010001, 8172), "orders", seconds(60), "z"},
+      output.codec, output,
+      log,          observer};
+};
+
+TEST_CASE("A SYN without room waits and then returns to its balancer") {
+  SingleAgent one;
+  one.Announce(kNow, 20000, 1);
+  one.Notify(kNow, 2, 1);
+  for (uint32_t i = 1; i <= 3; ++i) one.Syn(kNow, i);
+  CHECK(one.output.to_target == 2);
+  CHECK(one.agent.queued() == 1);
+  CHECK(one.agent.counters().held_slow_start == 1);
+  one.Tick(kNow + milliseconds(101));
+  CHECK(one.output.returned == std::vector<HopKind>{HopKind::kYielded});
+  // A SYN that comes shortly before there is room is delivered.
+  one.Syn(kNow + milliseconds(950), 4);
+  CHECK(one.output.to_target == 2);
+  one.Tick(kNow + milliseconds(1010));
+  CHECK(one.output.to_target == 3);
+}
+
+TEST_CASE("A copy of a delivered SYN does not count again") {
+  SingleAgent one;
+  one.Announce(kNow, 20000, 1);
+  one.Notify(kNow, 2, 1);
+  one.Syn(kNow, 1);
+  one.Syn(kNow + milliseconds(200), 1, 1);
+  CHECK(one.output.to_target == 2);
+  CHECK(one.ReportedRoom(kNow + milliseconds(200)) == 1);
+  one.Syn(kNow + milliseconds(210), 2);
+  CHECK(one.agent.queued() == 0);
+  // Nor is it held when the room is used up.
+  one.Syn(kNow + milliseconds(600), 1, 2);
+  CHECK(one.output.to_target == 4);
+}
+
+TEST_CASE("Reports carry the room only while a target is cold and limited") {
+  SingleAgent one;
+  one.Announce(kNow, 5000, 1);
+  CHECK(one.ReportedRoom(kNow) == -1);
+  one.Notify(kNow, 4.7, 1);
+  CHECK(one.ReportedRoom(kNow) == 4);
+  one.Syn(kNow, 1);
+  CHECK(one.ReportedRoom(kNow) == 3);
+  CHECK(one.ReportedRoom(kNow + milliseconds(1001)) == 4);
+  CHECK(one.ReportedRoom(kNow + seconds(5)) == -1);
+}
+
+TEST_CASE("A notice of an older configuration or a malformed one is ignored") {
+  SingleAgent one;
+  one.Announce(kNow, 5000, 1);
+  one.Notify(kNow, 4, 5);
+  one.Notify(kNow, 9, 4);
+  one.Notify(kNow, 0, 6);
+  one.Notify(kNow, -1, 6);
+  one.Notify(kNow, std::numeric_limits<double>::quiet_NaN(), 6);
+  one.Notify(kNow, std::numeric_limits<double>::infinity(), 6);
+  one.Notify(kNow, 9, 6, 0);
+  CHECK(one.ReportedRoom(kNow) == 4);
+  schema::AgentNotice none;
+  none.configuration_version = 4;
+  one.agent.OnNotice(kNow, kBalancer, none);
+  CHECK(one.ReportedRoom(kNow) == 4);
+  none.configuration_version = 6;
+  one.agent.OnNotice(kNow, kBalancer, none);
+  CHECK(one.ReportedRoom(kNow) == -1);
+}
+
+TEST_CASE("A young agent without an announcement takes the notice's duration") {
+  SingleAgent one;
+  one.Notify(kNow + seconds(1), 4, 1, 3000);
+  CHECK(one.ReportedRoom(kNow + seconds(2)) == 4);
+  CHECK(one.ReportedRoom(kNow + seconds(3)) == -1);
+  one.Announce(kNow + seconds(2), 500, 9);
+  CHECK(one.agent.slow_start().Cold(kNow + milliseconds(2499)));
+  CHECK_FALSE(one.agent.slow_start().Cold(kNow + milliseconds(2500)));
+}
+
+TEST_CASE("The target of a restored zone is cold until it announces itself") {
+  SingleAgent one;
+  one.Announce(kNow, 0, 1);
+  one.Notify(kNow, 4, 1, 3000);
+  CHECK(one.ReportedRoom(kNow) == -1);
+  one.agent.OnZoneRestored(kNow + seconds(10));
+  CHECK(one.ReportedRoom(kNow + seconds(10)) == 4);
+  CHECK(one.ReportedRoom(kNow + milliseconds(12999)) == 4);
+  CHECK(one.ReportedRoom(kNow + seconds(13)) == -1);
+  one.agent.OnZoneRestored(kNow + seconds(20));
+  one.Announce(kNow + seconds(21), 0, 2);
+  CHECK(one.ReportedRoom(kNow + seconds(21)) == -1);
+  one.agent.OnZoneRestored(kNow + seconds(30));
+  one.Announce(kNow + seconds(31), 9000, 3);
+  CHECK(one.ReportedRoom(kNow + seconds(39)) == 4);
+}
+
+TEST_CASE("A limit that arrives after the restoration of the zone applies") {
+  SingleAgent one;
+  one.Announce(kNow, 0, 1);
+  one.agent.OnZoneRestored(kNow + seconds(10));
+  CHECK(one.ReportedRoom(kNow + seconds(10)) == -1);
+  one.Notify(kNow + seconds(11), 4, 1, 3000);
+  CHECK(one.ReportedRoom(kNow + milliseconds(12999)) == 4);
+  CHECK(one.ReportedRoom(kNow + seconds(13)) == -1);
+}
+
+TEST_CASE("An announcement that makes a target cold again changes its entry") {
+  SingleAgent one;
+  one.Announce(kNow, 1000, 1);
+  CHECK(one.effect == AnnouncementEffect::kChanged);
+  one.Announce(kNow + milliseconds(500), 500, 2);
+  CHECK(one.effect == AnnouncementEffect::kUnchanged);
+  one.Announce(kNow + milliseconds(1500), 0, 3);
+  CHECK(one.effect == AnnouncementEffect::kUnchanged);
+  one.Announce(kNow + milliseconds(2500), 8000, 4);
+  CHECK(one.effect == AnnouncementEffect::kChanged);
+  one.Announce(kNow + milliseconds(3500), 7000, 5);
+  CHECK(one.effect == AnnouncementEffect::kUnchanged);
+}
+
+}  // namespace
+}  // namespace sesamesaddle
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -301,8 +301,9 @@
 void BalancerProcess::Flush() {
   balancer_.FlushQueries(deps_.loop.Now());
   client_socket_->Flush();
-  agent_socket_->Flush();
+  // A notice is sent before the SYN that it applies to.
   control_socket_->Flush();
+  agent_socket_->Flush();
   ScheduleTick();
 }
 
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -114,6 +114,7 @@
                                      const schema::AgentNotice& notice) {
   const size_t to = agent.ip() - AgentAddress(0).ip();
   ++world.notices;
+  if (world.lose_notices) return;
   world.Deliver(kHopDelay, [this, to, notice] {
     Agent* other = world.agents_[to].get();
     if (other == nullptr) return;
@@ -139,6 +140,7 @@
     directory.Put(world.scheduler.Now(), std::to_string(target),
                   world.Record(target, world.draining_.count(target) != 0),
                   StoreRevision(revision));
+    flows.OnAgentListed(world.scheduler.Now(), AgentAddress(target));
   }
 }
 
@@ -225,6 +227,11 @@
 
 void SteeringWorld::StartBalancer(size_t i) {
   balancers_[i] = std::make_unique<Balancer>(*this, i);
+  std::vector<Endpoint> peers;
+  for (size_t k = 0; k < balancers_.size(); ++k) {
+    if (k != i) peers.push_back(BalancerAddress(k));
+  }
+  balancers_[i]->flows.SetBalancers(BalancerAddress(i), std::move(peers));
   balancers_[i]->ReadDirectory();
   balancers_[i]->flows.OnDirectoryRead(scheduler.Now(), scheduler.Now());
 }
@@ -247,10 +254,26 @@
   record.slots = targets[i]->slots;
   record.state =
       draining ? schema::TargetState::kDraining : schema::TargetState::kReady;
-  record.slow_start_ms = 0;
+  const auto slow_start = listed_slow_start_ms_.find(i);
+  record.slow_start_ms =
+      slow_start == listed_slow_start_ms_.end() ? 0 : slow_start->second;
   return record;
 }
 
+int SteeringWorld::SlowStartMs(size_t i) const {
+  const auto it = cold_until.find(i);
+  if (it == cold_until.end() || it->second <= scheduler.Now()) return 0;
+  return static_cast<int>((it->second - scheduler.Now()) /
+                          std::chrono::milliseconds(1));
+}
+
+void SteeringWorld::Configure(RouteTable table) {
+  routes = std::move(table);
+  for (auto& balancer : balancers_) {
+    if (balancer != nullptr) balancer->flows.Apply(scheduler.Now(), routes);
+  }
+}
+
 std::string SteeringWorld::ServiceOf(size_t i) const {
   const auto it = services_.find(i);
   return it == services_.end() ? kService : it->second;
@@ -272,6 +295,7 @@
   announcement.service = ServiceOf(i);
   announcement.slots = targets[i]->slots;
   announcement.draining = draining;
+  announcement.slow_start_ms = SlowStartMs(i);
   announcement.sequence = ++sequences_[i];
   if (agents_[i] != nullptr) {
     agents_[i]->flows.OnAnnouncement(scheduler.Now(), announcement);
@@ -281,12 +305,14 @@
 
 void SteeringWorld::List(size_t i, bool draining) {
   listed_[i] = ++revision_;
+  listed_slow_start_ms_[i] = SlowStartMs(i);
   for (auto& balancer : balancers_) {
     if (balancer == nullptr || stale_balancers.count(balancer->index) != 0) {
       continue;
     }
     balancer->directory.Put(scheduler.Now(), std::to_string(i),
                             Record(i, draining), StoreRevision(revision_));
+    balancer->flows.OnAgentListed(scheduler.Now(), AgentAddress(i));
   }
 }
 
@@ -305,10 +331,10 @@
   }
 }
 
-VirtualFlowClient& SteeringWorld::AddClient(bool keeps_flow) {
+VirtualFlowClient& SteeringWorld::AddClient(bool keeps_flow, Endpoint route) {
   const auto address = static_cast<uint32_t>(0x64400000 + clients.size());
-  clients.push_back(std::make_unique<VirtualFlowClient>(
-      *this, address, RouteAddress(), keeps_flow));
+  clients.push_back(
+      std::make_unique<VirtualFlowClient>(*this, address, route, keeps_flow));
   return *clients.back();
 }
 
@@ -364,6 +390,7 @@
       held.sequence = static_cast<uint32_t>(world_.random.Next());
       held.client_sequence = header->sequence;
       ++accepted_flows;
+      accepted_at.push_back(world_.scheduler.Now());
     }
     PacketHeader answer;
     answer.source = flow.service;
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -47,6 +47,8 @@
   std::set<std::string> started_requests;
   std::set<std::string> completed_requests;
   int accepted_flows = 0;
+  /** Times at which it accepted flows. */
+  std::vector<TimePoint> accepted_at;
 
  private:
   struct HeldFlow {
@@ -162,7 +164,10 @@
    * stale.
    */
   void List(size_t i, bool draining = false);
-  VirtualFlowClient& AddClient(bool keeps_flow);
+  VirtualFlowClient& AddClient(bool keeps_flow,
+                               Endpoint route = RouteAddress());
+  /** Sets the configuration of all balancers, also of later ones. */
+  void Configure(RouteTable table);
 
   void FromClient(std::string packet);
   void FromTarget(size_t i, std::string packet);
@@ -184,6 +189,10 @@
   SplitMode split = SplitMode::kOverflow;
   /** While set, all agents' reports are lost. */
   bool lose_reports = false;
+  /** While set, all balancers' notices are lost. */
+  bool lose_notices = false;
+  /** Ends of the targets' slow starts, as they announce them. */
+  std::map<size_t, TimePoint> cold_until;
   /** Balancers whose watch of the store does not deliver changes. */
   std::set<size_t> stale_balancers;
   /** Number of times a balancer read the directory from the store. */
@@ -231,6 +240,9 @@
   std::map<size_t, std::string> services_;
   std::map<size_t, int64_t> sequences_;
   std::set<size_t> draining_;
+  /** Remaining slow start in the listed entries, in milliseconds. */
+  std::map<size_t, int> listed_slow_start_ms_;
+  int SlowStartMs(size_t i) const;
   /** Store revisions of the listed entries. */
   std::map<size_t, int64_t> listed_;
 };
