--- a/packages/placement/include/placement/split_overflow.h
+++ b/packages/placement/include/placement/split_overflow.h
@@ -21,6 +21,11 @@
  public:
   /** Requests per slot: every slot is busy and another request waits for it. */
   static constexpr double kSaturatedWork = 2.0;
+  /**
+   * Work that counts for a target in slow start without room, whose slots may
+   * be idle: another service takes the flow until it is saturated itself.
+   */
+  static constexpr double kWorkWithoutRoom = 2 * kSaturatedWork;
   /**
    * Share of the picked service's work that another one may have. Less than
    * the whole, so that the weights still show in the load.
--- a/packages/placement/include/placement/target_directory.h
+++ b/packages/placement/include/placement/target_directory.h
@@ -37,6 +37,7 @@
   int64_t limit_sent = 0;
   /** Notices of the limit since it or the record's slow start changed. */
   int limit_notices = 0;
+  TimePoint last_limit_notice{};
   /** Time at which its zone was restored after an evacuation, if ever. */
   TimePoint zone_restored{};
 
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -117,10 +117,11 @@
   AgentView* chosen =
       placement_.Choose(now, request, directory_.OfService(picked));
   if (split_ == SplitMode::kStrict || route.services.size() < 2) return chosen;
-  const std::optional<double> work =
-      chosen == nullptr || !HasSlowStartRoom(now, *chosen)
-          ? std::nullopt
-          : std::make_optional(WorkPerSlot(now, *chosen));
+  std::optional<double> work;
+  if (chosen != nullptr) {
+    work = HasSlowStartRoom(now, *chosen) ? WorkPerSlot(now, *chosen)
+                                          : SplitOverflow::kWorkWithoutRoom;
+  }
   if (!SplitOverflow::IsSaturated(work)) return chosen;
   AgentView* other = ChooseOverflowTarget(now, route, request, picked, work);
   return other == nullptr ? chosen : other;
--- a/packages/steering/src/flow_balancer_slow_start.cc
+++ b/packages/steering/src/flow_balancer_slow_start.cc
@@ -8,6 +8,11 @@
 namespace sesamesaddle {
 namespace {
 
+// Time between further notices to an agent that has not shown the limit after
+// a whole series. A balancer that starts late takes warm targets for cold ones,
+// as their entries keep the slow start of their first announcement.
+constexpr Duration kUnconfirmedNoticePeriod = std::chrono::seconds(2);
+
 /** Returns the flows per second that an agent allows. */
 int AppliedLimit(const SlowStart& limit) {
   return static_cast<int>(
@@ -37,7 +42,10 @@
 
 bool FlowBalancer::LacksLimit(TimePoint now, const AgentView& agent) const {
   // An agent whose target is warm by now never shows room.
-  if (agent.limit_notices >= NoticeSchedule::kMaxNotices) return false;
+  if (agent.limit_notices >= NoticeSchedule::kMaxNotices &&
+      now - agent.last_limit_notice < kUnconfirmedNoticePeriod) {
+    return false;
+  }
   const SlowStart* limit = routes_.FindSlowStart(agent.record.service_name);
   const auto& room = agent.slow_start_room;
   if (limit == nullptr) return room.has_value();
@@ -72,6 +80,7 @@
 void FlowBalancer::SendNotice(TimePoint now, AgentView& agent) {
   ++counters_.notices;
   ++agent.limit_notices;
+  agent.last_limit_notice = now;
   agent.limit_sent = std::max<int64_t>(agent.limit_sent, routes_.version);
   output_.Notify(agent.agent, MakeNotice(agent));
 }
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -246,6 +246,8 @@
       .Add("revision", revision.number);
   directory_.Put(deps_.loop.Now(), key, *record, revision);
   balancer_.OnAgentListed(deps_.loop.Now(), Endpoint::Unpack(record->agent));
+  // Sends a notice that is due for it.
+  ScheduleTick();
 }
 
 void BalancerProcess::OnEntryRemoved(const std::string& key,
