--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -65,7 +65,7 @@
         index(index),
         flows(world.scheduler.Now(),
               {AgentAddress(index), world.ServiceOf(index),
-               std::chrono::seconds(60), "zone"},
+               std::chrono::seconds(60), world.ZoneOf(index)},
               world.codec_, *this, world.log_, observer) {}
 
   void ToTarget(std::string_view packet) override {
@@ -142,6 +142,7 @@
                   StoreRevision(revision));
     flows.OnAgentListed(world.scheduler.Now(), AgentAddress(target));
   }
+  world.ReadZones(flows);
 }
 
 void SteeringWorld::Agent::ToBalancer(const Endpoint& balancer,
@@ -158,6 +159,7 @@
 void SteeringWorld::Agent::Report(const Endpoint& balancer,
                                   const schema::AgentReport& report) {
   ++world.reports;
+  if (report.__isset.zone) ++world.reports_with_zone;
   if (world.lose_reports) return;
   const size_t to = balancer.ip() - BalancerAddress(0).ip();
   world.Deliver(kHopDelay, [this, to, report] {
@@ -202,6 +204,8 @@
   return balancers_[i]->directory;
 }
 
+ZoneEvacuations& SteeringWorld::zones(size_t i) { return balancers_[i]->zones; }
+
 void SteeringWorld::Deliver(Duration delay, std::function<void()> action) {
   scheduler.After(delay, std::move(action));
 }
@@ -227,11 +231,8 @@
 
 void SteeringWorld::StartBalancer(size_t i) {
   balancers_[i] = std::make_unique<Balancer>(*this, i);
-  std::vector<Endpoint> peers;
-  for (size_t k = 0; k < balancers_.size(); ++k) {
-    if (k != i) peers.push_back(BalancerAddress(k));
-  }
-  balancers_[i]->flows.SetBalancers(BalancerAddress(i), std::move(peers));
+  listed_balancers_.insert(i);
+  ListBalancers();
   balancers_[i]->ReadDirectory();
   balancers_[i]->flows.OnDirectoryRead(scheduler.Now(), scheduler.Now());
 }
@@ -250,7 +251,7 @@
   record.born_ms = targets[i]->starts;
   record.service_name = ServiceOf(i);
   record.agent = AgentAddress(i).Pack();
-  record.zone = "zone";
+  record.zone = ZoneOf(i);
   record.slots = targets[i]->slots;
   record.state =
       draining ? schema::TargetState::kDraining : schema::TargetState::kReady;
