--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -259,6 +259,8 @@
       .Add("revision", revision.number);
   directory_.Put(deps_.loop.Now(), key, *record, revision);
   balancer_.OnAgentListed(deps_.loop.Now(), Endpoint::Unpack(record->agent));
+  // Sends a notice that is due for it.
+  ScheduleTick();
 }
 
 void BalancerProcess::OnBalancerEntry(const std::string& key,
@@ -347,8 +349,9 @@
 void BalancerProcess::Flush() {
   balancer_.FlushQueries(deps_.loop.Now());
   client_socket_->Flush();
-  agent_socket_->Flush();
+  // A notice is sent before the SYN that it applies to.
   control_socket_->Flush();
+  agent_socket_->Flush();
   ScheduleTick();
 }
 
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -153,6 +153,7 @@
     directory.Put(world.scheduler.Now(), std::to_string(target),
                   world.Record(target, world.draining_.count(target) != 0),
                   StoreRevision(revision));
+    flows.OnAgentListed(world.scheduler.Now(), AgentAddress(target));
   }
   world.ReadZones(flows);
 }
@@ -272,10 +273,26 @@
   record.slots = targets[i]->slots;
   record.state =
       draining ? schema::TargetState::kDraining : schema::TargetState::kReady;
-  record.slow_start_ms = 0;
+  const auto slow_start = listed_slow_start_ms_.find(i);
+  record.slow_start_ms =
+      slow_start == listed_slow_start_ms_.end() ? 0 : slow_start->second;
   return record;
 }
 
+int SteeringWorld::SlowStartMs(size_t i) const {
+  const auto it = cold_until.find(i);
+  if (it == cold_until.end() || it->second <= scheduler.Now()) return 0;
+  return static_cast<int>((it->second - scheduler.Now()) /
+                          std::chrono::milliseconds(1));
+}
+
+void SteeringWorld::Configure(RouteTable table) {
+  routes = std::move(table);
+  for (auto& balancer : balancers_) {
+    if (balancer != nullptr) balancer->flows.Apply(scheduler.Now(), routes);
+  }
+}
+
 std::string SteeringWorld::ServiceOf(size_t i) const {
   const auto it = services_.find(i);
   return it == services_.end() ? kService : it->second;
@@ -297,6 +314,7 @@
   announcement.service = ServiceOf(i);
   announcement.slots = targets[i]->slots;
   announcement.draining = draining;
+  announcement.slow_start_ms = SlowStartMs(i);
   announcement.sequence = ++sequences_[i];
   if (agents_[i] != nullptr) {
     agents_[i]->flows.OnAnnouncement(scheduler.Now(), announcement);
@@ -306,6 +324,7 @@
 
 void SteeringWorld::List(size_t i, bool draining) {
   listed_[i] = ++revision_;
+  listed_slow_start_ms_[i] = SlowStartMs(i);
   for (auto& balancer : balancers_) {
     if (balancer == nullptr || stale_balancers.count(balancer->index) != 0) {
       continue;
@@ -391,6 +410,7 @@
       held.sequence = static_cast<uint32_t>(world_.random.Next());
       held.client_sequence = header->sequence;
       ++accepted_flows;
+      accepted_at.push_back(world_.scheduler.Now());
     }
     PacketHeader answer;
     answer.source = flow.service;
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -47,6 +47,8 @@
   std::set<std::string> started_requests;
   std::set<std::string> completed_requests;
   int accepted_flows = 0;
+  /** Times at which it accepted flows. */
+  std::vector<TimePoint> accepted_at;
 
  private:
   struct HeldFlow {
@@ -179,6 +181,8 @@
   void CopyZones(size_t from, size_t to);
   VirtualFlowClient& AddClient(bool keeps_flow,
                                const Endpoint& route = RouteAddress());
+  /** Sets the configuration of all balancers, also of later ones. */
+  void Configure(RouteTable table);
 
   void FromClient(std::string packet);
   void FromTarget(size_t i, std::string packet);
@@ -202,6 +206,8 @@
   QueueOrder queue_order = QueueOrder::kPriority;
   /** While set, all agents' reports are lost. */
   bool lose_reports = false;
+  /** Ends of the targets' slow starts, as they announce them. */
+  std::map<size_t, TimePoint> cold_until;
   /** While set, all notices are lost. */
   bool lose_notices = false;
   /** Maximum delay of a change of a zone on its way to a balancer. */
@@ -280,6 +286,9 @@
   std::set<size_t> listed_balancers_;
   std::map<size_t, int64_t> sequences_;
   std::set<size_t> draining_;
+  /** Remaining slow start in the listed entries, in milliseconds. */
+  std::map<size_t, int> listed_slow_start_ms_;
+  int SlowStartMs(size_t i) const;
   /** Store revisions of the listed entries. */
   std::map<size_t, int64_t> listed_;
 };
