--- a/packages/flow_location/tests/digest_rounds_test.cc
+++ b/packages/flow_location/tests/digest_rounds_test.cc
@@ -124,7 +124,8 @@
 
   TimePoint now = kNow;
   int64_t revision = 0;
-  TargetDirectory directory;
+  ZoneEvacuations zones;
+  TargetDirectory directory{zones};
   RecordingLocatorOutput output;
   FlowLocator locator;
 };
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -47,9 +47,9 @@
   std::string service;
   /** Maximum lifetime of a flow; older ones may be dropped by any process. */
   Duration flow_lifetime = std::chrono::seconds(60);
-  QueueOrder queue_order = QueueOrder::kPriority;
   /** Availability zone of the agent and its target. */
   std::string zone = {};
+  QueueOrder queue_order = QueueOrder::kPriority;
 };
 
 /** Counts since the start of the process. */
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -66,11 +66,11 @@
   Agent(SteeringWorld& world, size_t index)
       : world(world),
         index(index),
-        flows(world.scheduler.Now(),
-              {AgentAddress(index), world.ServiceOf(index),
-               std::chrono::seconds(60), world.queue_order,
-               world.ZoneOf(index)},
-              world.codec_, *this, world.log_, observer) {}
+        flows(
+            world.scheduler.Now(),
+            {AgentAddress(index), world.ServiceOf(index),
+             std::chrono::seconds(60), world.ZoneOf(index), world.queue_order},
+            world.codec_, *this, world.log_, observer) {}
 
   void ToTarget(std::string_view packet) override {
     world.Deliver(kLocalDelay, [this, bytes = std::string(packet)] {
