A start logs its first read of the directory in one line

Cause: a balancer wrote a line for each listed target at its start.

Change: directory-read tells targets, peers, era and revision of the first read; target-listed follows for each later change. The functions on a balancer's record move into a file of their own.

--- a/packages/schema/tests/schema_test.cc
+++ b/packages/schema/tests/schema_test.cc
@@ -51,7 +51,7 @@
 TEST_CASE("A balancer's record of an earlier version has no capacity") {
   // Bytes written by the version that had no capacity in the record. A required
   // field would make balancers ignore peers of that version.
-  const char kEarlierHex[] =
+  constexpr char kEarlierHex[] =
       "1806656467652d3118086d6f6e747265616c16d0f8e080a0800516d2f8e080a0800500";
   std::string bytes;
   for (const char* hex = kEarlierHex; *hex != '\0'; hex += 2) {
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -64,11 +64,11 @@
   void OnSynchronized(TimePoint as_of) override;
 
   tl::expected<void, NetError> OpenSockets();
-  schema::BalancerRecord MakeRecord() const;
   /** Handles the entry of a balancer, this one included. */
   void OnBalancerEntry(const std::string& key,
                        const schema::BalancerRecord& record,
                        StoreRevision revision);
+  void LogTarget(const schema::TargetRecord& record, StoreRevision revision);
   void OnControl(const Endpoint& from, std::string_view bytes);
   void SendToAgent(const Endpoint& agent,
                    const schema::SteeringMessage& message);
@@ -109,6 +109,8 @@
   EventLoop::Timer exchange_timer_;
   bool tick_scheduled_ = false;
   bool configured_ = false;
+  /** The store was read at least once. */
+  bool synchronized_ = false;
   /** A stop was requested. */
   bool stopping_ = false;
   /** Reports itself as not ready, so that the routers remove it. */
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -6,6 +6,7 @@
 #include "core/text.h"
 #include "schema/codec.h"
 #include "schema/readable_json.h"
+#include "steering_daemon/balancer_record.h"
 #include "steering_daemon/steering_tables.h"
 
 namespace sesamesaddle {
@@ -31,13 +32,6 @@
   return {decoder.store_key(), DirectoryKeys::kPrefix};
 }
 
-InstanceCapacity CapacityOf(const schema::BalancerRecord& record) {
-  InstanceCapacity capacity;
-  if (record.__isset.cpu_cores) capacity.cpu_cores = record.cpu_cores;
-  if (record.__isset.link_mbps) capacity.link_mbps = record.link_mbps;
-  return capacity;
-}
-
 Topology MakeTopology(const SteeringSettings& settings) {
   return {settings.zone, settings.regions};
 }
@@ -130,7 +124,7 @@
       .Add("store", settings_.store)
       .Add("seeds", settings_.seeds.size());
   startup_.Start(deps_.loop.Now());
-  registration_.Publish(EncodeCompact(MakeRecord()));
+  registration_.Publish(EncodeCompact(MakeBalancerRecord(settings_)));
   follower_.Start();
   housekeeping_timer_ =
       deps_.loop.Every(kHousekeepingPeriod, [this] { RunHousekeeping(); });
@@ -144,20 +138,6 @@
       .Add("flows", balancer_.flow_count());
 }
 
-schema::BalancerRecord BalancerProcess::MakeRecord() const {
-  schema::BalancerRecord record;
-  record.name = settings_.name;
-  record.zone = settings_.zone;
-  record.control =
-      PeerEndpoint(settings_, settings_.ip, PeerPort::kControl).Pack();
-  record.replica =
-      PeerEndpoint(settings_, settings_.ip, PeerPort::kReplica).Pack();
-  const InstanceCapacity& capacity = settings_.capacity;
-  if (capacity.cpu_cores) record.__set_cpu_cores(*capacity.cpu_cores);
-  if (capacity.link_mbps) record.__set_link_mbps(*capacity.link_mbps);
-  return record;
-}
-
 bool BalancerProcess::Ready() {
   return !leaving_rotation_ && configured_ && follower_.loaded() &&
          startup_.Allows(deps_.loop.Now());
@@ -243,16 +223,22 @@
         .Add("revision", revision.number);
     return;
   }
+  // One line reports the first read as a whole.
+  if (follower_.loaded()) LogTarget(*record, revision);
+  directory_.Put(deps_.loop.Now(), key, *record, revision);
+}
+
+void BalancerProcess::LogTarget(const schema::TargetRecord& record,
+                                StoreRevision revision) {
   LogLine(deps_.log, EventKind::kStateChange, kLogComponent, "target-listed")
-      .Add("target", record->id)
-      .Add("service", record->service_name)
-      .Add("agent", Endpoint::Unpack(record->agent))
-      .Add("zone", record->zone)
-      .Add("state", static_cast<int>(record->state))
-      .Add("slots", record->slots)
+      .Add("target", record.id)
+      .Add("service", record.service_name)
+      .Add("agent", Endpoint::Unpack(record.agent))
+      .Add("zone", record.zone)
+      .Add("state", static_cast<int>(record.state))
+      .Add("slots", record.slots)
       .Add("era", revision.era.value())
       .Add("revision", revision.number);
-  directory_.Put(deps_.loop.Now(), key, *record, revision);
 }
 
 void BalancerProcess::OnBalancerEntry(const std::string& key,
@@ -286,6 +272,15 @@
 }
 
 void BalancerProcess::OnSynchronized(TimePoint as_of) {
+  if (!synchronized_) {
+    synchronized_ = true;
+    const StoreRevision revision = follower_.directory_revision();
+    LogLine(deps_.log, EventKind::kStateChange, kLogComponent, "directory-read")
+        .Add("targets", directory_.size())
+        .Add("peers", exchange_.peer_count())
+        .Add("era", revision.era.value())
+        .Add("revision", revision.number);
+  }
   balancer_.OnDirectoryRead(deps_.loop.Now(), as_of);
   Flush();
 }
--- a/packages/steering_daemon/tests/startup_fleet_test.cc
+++ b/packages/steering_daemon/tests/startup_fleet_test.cc
@@ -13,6 +13,7 @@
 #include "registry/replica_follower.h"
 #include "schema/codec.h"
 #include "silent_log.h"
+#include "steering_daemon/balancer_record.h"
 #include "steering_daemon/startup_readiness.h"
 #include "steering_daemon/steering_process.h"
 #include "virtual_scheduler.h"
@@ -72,12 +73,6 @@
   const schema::BalancerRecord& record() const { return record_; }
 
  private:
-  static InstanceCapacity CapacityOf(const schema::BalancerRecord& record) {
-    InstanceCapacity capacity;
-    if (record.__isset.cpu_cores) capacity.cpu_cores = record.cpu_cores;
-    if (record.__isset.link_mbps) capacity.link_mbps = record.link_mbps;
-    return capacity;
-  }
   bool OnConfiguration(const std::string& /*document*/,
                        StoreRevision /*revision*/,
                        bool /*after_gap*/) override {
@@ -128,12 +123,11 @@
 
   void Add(const std::string& name, const std::string& zone,
            const InstanceCapacity& capacity) {
-    schema::BalancerRecord record;
-    record.name = name;
-    record.zone = zone;
-    if (capacity.cpu_cores) record.__set_cpu_cores(*capacity.cpu_cores);
-    if (capacity.link_mbps) record.__set_link_mbps(*capacity.link_mbps);
-    records_.push_back(record);
+    SteeringSettings settings;
+    settings.name = name;
+    settings.zone = zone;
+    settings.capacity = capacity;
+    records_.push_back(MakeBalancerRecord(settings));
   }
   /** Starts a process; an earlier one of the balancer must have ended. */
   StartedBalancer& Start(const std::string& name) {
