--- a/packages/flow_location/include/flow_location/digest_rounds.h
+++ b/packages/flow_location/include/flow_location/digest_rounds.h
@@ -61,9 +61,10 @@
 /**
  * Decides which agents are asked for a digest of their flows and when, and
  * which searches a digest resolves. All searches share the queries: one query
- * per agent and round, whatever the number of flows. A round ends when all its
- * agents have replied or after kRoundTimeout; searches that begin meanwhile
- * take part in the next one.
+ * per agent and round, whatever the number of flows. A round queries up to
+ * kAgentsPerRound agents at once, and the next ones when all of these have
+ * replied. It ends when no agent is left, or when agents have not replied for
+ * kRoundTimeout; searches that begin meanwhile take part in the next one.
  *
  * A digest that replies to the query of round N denies the flows of searches
  * that began before round N, and of no others: a flow of a later search may
@@ -77,7 +78,12 @@
  public:
   /** Time allowed for a query and its reply between zones. */
   static constexpr Duration kRoundTimeout = std::chrono::milliseconds(20);
-  /** Maximum number of agents queried per round. */
+  /**
+   * A longer round makes no further queries, so that new searches need not wait
+   * for all agents of a large fleet.
+   */
+  static constexpr Duration kMaxRoundTime = std::chrono::milliseconds(100);
+  /** Maximum number of agents queried at once. */
   static constexpr size_t kAgentsPerRound = 32;
   /**
    * An agent that has not replied is queried again after this time, then after
@@ -107,6 +113,17 @@
   std::vector<DigestQuery> Start(TimePoint now,
                                  const std::vector<WaitingSearch>& searches,
                                  TargetDirectory& directory);
+  /**
+   * Whether all agents queried so far have replied and further ones may be
+   * queried in the same round.
+   */
+  bool ContinueDue(TimePoint now) const {
+    return in_progress_ && unanswered_ == 0 && now - started_ < kMaxRoundTime;
+  }
+  /** Returns the next agents to query in this round, if any are left. */
+  std::vector<DigestQuery> Continue(TimePoint now,
+                                    const std::vector<WaitingSearch>& searches,
+                                    TargetDirectory& directory);
   /** Returns the number of the queries of the current round. */
   int32_t query_number() const { return ToNumber(round_); }
   /**
@@ -159,6 +176,12 @@
                         const std::vector<WaitingSearch>& searches,
                         TargetDirectory& directory,
                         std::vector<DigestQuery>& queries);
+  /** Chooses the agents to query at once. */
+  std::vector<DigestQuery> Select(TimePoint now,
+                                  const std::vector<WaitingSearch>& searches,
+                                  TargetDirectory& directory);
+  /** Records that the queries of the current round are sent. */
+  void RecordQueries(TimePoint now, const std::vector<DigestQuery>& queries);
   /** Adds a query to the agent if it may resolve a search of the group. */
   void AddQuery(TimePoint now, AgentView& view, const Group& group,
                 std::vector<DigestQuery>& queries);
@@ -176,6 +199,7 @@
   bool in_progress_ = false;
   TimePoint started_{};
   TimePoint next_start_{};
+  TimePoint last_queries_{};
   /** Agents of the current round that have not replied. */
   size_t unanswered_ = 0;
   DigestRoundSummary summary_;
--- a/packages/flow_location/include/flow_location/flow_locator.h
+++ b/packages/flow_location/include/flow_location/flow_locator.h
@@ -159,9 +159,12 @@
   bool ConcludeIfNotFound(TimePoint now, const Flow& flow);
   /** Offers the packets or starts the next round, if either is due. */
   void Advance(TimePoint now, const Flow& flow, FlowSearch& search);
+  std::vector<WaitingSearch> SearchesByDigest() const;
+  void SendDigestQueries(TimePoint now,
+                         const std::vector<DigestQuery>& queries);
   /** Starts a round of digests if one is due and any search waits for it. */
   void StartDigestRound(TimePoint now);
-  /** Advances all searches if the round is over. */
+  /** Continues the round, or advances all searches if it is over. */
   void EndDigestRound(TimePoint now);
   /** Concludes or advances each search. */
   void AdvanceAll(TimePoint now);
--- a/packages/flow_location/src/digest_rounds.cc
+++ b/packages/flow_location/src/digest_rounds.cc
@@ -25,19 +25,58 @@
 std::vector<DigestQuery> DigestRounds::Start(
     TimePoint now, const std::vector<WaitingSearch>& searches,
     TargetDirectory& directory) {
-  std::vector<DigestQuery> queries;
   if (round_ == 0) {
     // A reply to an earlier process at this address may still arrive, so its
     // numbers must not be used again: the clock advances faster than rounds.
     number_base_ = static_cast<uint32_t>(now.time_since_epoch() /
                                          std::chrono::milliseconds(1));
   }
-  next_start_ = now + kRoundTimeout;
-  QueryServices(now, searches, directory, queries);
-  QueryOtherAgents(now, searches, directory, queries);
-  if (queries.empty()) return queries;
+  next_start_ = now;
+  std::vector<DigestQuery> queries = Select(now, searches, directory);
+  if (queries.empty()) {
+    next_start_ += kRoundTimeout;
+    return queries;
+  }
   ++round_;
+  ++counters_.rounds;
+  in_progress_ = true;
+  started_ = now;
+  unanswered_ = 0;
+  summary_ = DigestRoundSummary();
+  summary_.round = round_;
+  summary_.searches = searches.size();
   ForgetRemovedAgents(directory);
+  RecordQueries(now, queries);
+  return queries;
+}
+
+std::vector<DigestQuery> DigestRounds::Continue(
+    TimePoint now, const std::vector<WaitingSearch>& searches,
+    TargetDirectory& directory) {
+  // Later searches need digests of the next round.
+  std::vector<WaitingSearch> of_round;
+  for (const WaitingSearch& waiting : searches) {
+    if (waiting.search->first_digest_round <= round_) {
+      of_round.push_back(waiting);
+    }
+  }
+  std::vector<DigestQuery> queries = Select(now, of_round, directory);
+  RecordQueries(now, queries);
+  return queries;
+}
+
+std::vector<DigestQuery> DigestRounds::Select(
+    TimePoint now, const std::vector<WaitingSearch>& searches,
+    TargetDirectory& directory) {
+  std::vector<DigestQuery> queries;
+  QueryServices(now, searches, directory, queries);
+  QueryOtherAgents(now, searches, directory, queries);
+  return queries;
+}
+
+void DigestRounds::RecordQueries(TimePoint now,
+                                 const std::vector<DigestQuery>& queries) {
+  if (queries.empty()) return;
   for (const DigestQuery& query : queries) {
     AgentState& state = agents_[query.agent->agent];
     const size_t doublings =
@@ -49,16 +88,13 @@
     state.outstanding.push_back(round_);
     state.named = query.named;
   }
-  in_progress_ = true;
-  started_ = now;
-  unanswered_ = queries.size();
-  summary_ = DigestRoundSummary();
-  summary_.round = round_;
-  summary_.searches = searches.size();
-  summary_.agents = queries.size();
-  ++counters_.rounds;
+  last_queries_ = now;
+  // On average kAgentsPerRound queries per kRoundTimeout, so that flows that
+  // arrive one after another do not cost a query to all agents each time.
+  next_start_ = std::min(next_start_ + kRoundTimeout, started_ + kMaxRoundTime);
+  unanswered_ += queries.size();
+  summary_.agents += queries.size();
   counters_.queries += static_cast<int64_t>(queries.size());
-  return queries;
 }
 
 void DigestRounds::SortLatestFirst(Group& group) {
@@ -197,7 +233,9 @@
 
 std::optional<DigestRoundSummary> DigestRounds::EndIfOver(TimePoint now) {
   if (!in_progress_) return std::nullopt;
-  if (unanswered_ > 0 && now - started_ < kRoundTimeout) return std::nullopt;
+  if (unanswered_ > 0 && now - last_queries_ < kRoundTimeout) {
+    return std::nullopt;
+  }
   in_progress_ = false;
   summary_.took = now - started_;
   return summary_;
--- a/packages/flow_location/src/flow_locator_digests.cc
+++ b/packages/flow_location/src/flow_locator_digests.cc
@@ -7,15 +7,24 @@
 
 namespace sesamesaddle {
 
-void FlowLocator::StartDigestRound(TimePoint now) {
-  if (!digest_rounds_.StartDue(now)) return;
+std::vector<WaitingSearch> FlowLocator::SearchesByDigest() const {
   std::vector<WaitingSearch> waiting;
   for (const auto& [flow, search] : searches_) {
     if (search.by_digest) waiting.push_back({&flow, &search});
   }
+  return waiting;
+}
+
+void FlowLocator::StartDigestRound(TimePoint now) {
+  if (!digest_rounds_.StartDue(now)) return;
+  const std::vector<WaitingSearch> waiting = SearchesByDigest();
   if (waiting.empty()) return;
-  for (const DigestQuery& query :
-       digest_rounds_.Start(now, waiting, directory_)) {
+  SendDigestQueries(now, digest_rounds_.Start(now, waiting, directory_));
+}
+
+void FlowLocator::SendDigestQueries(TimePoint now,
+                                    const std::vector<DigestQuery>& queries) {
+  for (const DigestQuery& query : queries) {
     RecordQuery(now, searches_.at(query.named), query.agent->agent);
     output_.QueryDigest(now, *query.agent, query.named,
                         digest_rounds_.query_number());
@@ -23,6 +32,11 @@
 }
 
 void FlowLocator::EndDigestRound(TimePoint now) {
+  if (digest_rounds_.ContinueDue(now)) {
+    const auto queries =
+        digest_rounds_.Continue(now, SearchesByDigest(), directory_);
+    SendDigestQueries(now, queries);
+  }
   const auto summary = digest_rounds_.EndIfOver(now);
   if (!summary) return;
   output_.OnDigestRoundOver(*summary);
--- a/packages/steering/tests/flow_digest_reply_test.cc
+++ b/packages/steering/tests/flow_digest_reply_test.cc
@@ -178,5 +178,21 @@
   CHECK(largest <= FlowAgent::kMaxDigestBytes + 12);
 }
 
+TEST_CASE("A digest has at most 250 flows also if their hashes are short") {
+  std::vector<Flow> flows;
+  for (uint32_t i = 1; flows.size() <= FlowAgent::kMaxDigestFlows; ++i) {
+    const int32_t hash = DigestHash(MakeFlow(i));
+    if (hash >= 0 && hash < (1 << 20)) flows.push_back(MakeFlow(i));
+  }
+  AgentFixture f;
+  f.Announce(1);
+  for (size_t i = 1; i < flows.size(); ++i) f.Syn(flows[i]);
+  f.Query(1);
+  CHECK(f.Report().__isset.digest);
+  f.Syn(flows[0]);
+  f.Query(2);
+  CHECK_FALSE(f.Report().__isset.digest);
+}
+
 }  // namespace
 }  // namespace sesamesaddle
