Check the agent that is queried last, not the next one

Cause: a search remembers one agent that may still hold its flow.

Change: agents are looked at in reverse order.

Tests: flow_location_test, steering_test pass.

--- a/packages/flow_location/src/flow_locator.cc
+++ b/packages/flow_location/src/flow_locator.cc
@@ -255,11 +255,13 @@
 
 bool FlowLocator::AllDenied(const Flow& flow, FlowSearch& search,
                             const std::vector<AgentView*>& agents) const {
-  // Agents are queried in their order. Beginning elsewhere finds one that is
-  // queried late, so that few checks have to look at all agents.
-  const size_t begin = agents.empty() ? 0 : HashFlow(flow) % agents.size();
-  for (size_t i = 0; i < agents.size(); ++i) {
-    const Endpoint& agent = agents[(begin + i) % agents.size()]->agent;
+  // Agents are queried in their order, in turn. In reverse order the agent that
+  // is found after the first check is the one that is queried last, so that few
+  // checks have to look at all agents.
+  const size_t size = agents.size();
+  const size_t begin = agents.empty() ? 0 : HashFlow(flow) % size;
+  for (size_t i = 0; i < size; ++i) {
+    const Endpoint& agent = agents[(begin + size - i) % size]->agent;
     if (!IsDenied(search, agent)) {
       search.undecided = agent;
       return false;
