--- a/benchmark/flow_search_benchmark.cc
+++ b/benchmark/flow_search_benchmark.cc
@@ -47,8 +47,8 @@
   LostFlows(int64_t targets, bool digests)
       : digests_(digests),
         placement_(Topology("here"), directory_),
-        balancer_({Topology("here")}, codec_, directory_, placement_, *this,
-                  log_) {
+        balancer_({Topology("here")}, codec_, directory_, zones_, placement_,
+                  *this, log_) {
     RouteTable routes;
     routes.version = 1;
     routes.routes[kRoute].services = {{ServiceName(0), 1}};
@@ -174,7 +174,8 @@
   std::multimap<TimePoint, std::string> reports_;
   PlatformPacketCodec codec_;
   SilentLog log_;
-  TargetDirectory directory_;
+  ZoneEvacuations zones_;
+  TargetDirectory directory_{zones_};
   LeastWaitPlacement placement_;
   FlowBalancer balancer_;
 };
--- a/packages/steering_daemon/tests/balancer_start_test.cc
+++ b/packages/steering_daemon/tests/balancer_start_test.cc
@@ -116,6 +116,7 @@
     return RouteTable();
   }
   std::string store_key() const override { return kConfigurationKey; }
+  std::string evacuation_prefix() const override { return "evacuated/"; }
 };
 
 class NoSettings : public SettingsSource {
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -212,7 +212,6 @@
   bool lose_notices = false;
   /** Maximum delay of a change of a zone on its way to a balancer. */
   Duration max_watch_delay{};
-<<<<<<< HEAD
   /** While set, all balancers' queries are lost. */
   bool lose_queries = false;
   /** Additional delay of reports, as on a full link. */
@@ -222,12 +221,10 @@
   /** While set, the bytes of queries and reports are counted. */
   bool count_bytes = false;
   /** Balancers whose watch of the store does not deliver changes. */
-=======
   /**
    * Balancers whose watch of the store does not deliver changes, and that read
    * no evacuations from it at their start.
    */
->>>>>>> evac
   std::set<size_t> stale_balancers;
   /** Number of times a balancer read the directory from the store. */
   int directory_reads = 0;
