--- a/packages/steering/tests/slow_start_test.cc
+++ b/packages/steering/tests/slow_start_test.cc
@@ -207,11 +207,16 @@
 
 TEST_CASE("Flows overflow to another service if a cold one has no room") {
   LimitedWorld world(2, 2);
+  world.split = SplitMode::kOverflow;
   RouteTable routes = world.routes;
   routes.version = 3;
   routes.routes.begin()->second.services = {{SteeringWorld::kService, 9},
                                             {"other", 1}};
   world.Configure(routes);
+  for (size_t i = 0; i < 2; ++i) {
+    world.KillBalancer(i);
+    world.StartBalancer(i);
+  }
   world.SetService(1, "other");
   for (int i = 0; i < 12; ++i) world.AddClient(false);
   world.StartCold(0);
