--- a/packages/flow_location/tests/digest_rounds_test.cc
+++ b/packages/flow_location/tests/digest_rounds_test.cc
@@ -314,6 +314,10 @@
   LocatorFixture f(100);
   std::map<int32_t, TimePoint> rounds;
   std::map<Endpoint, int> asked;
+  std::multimap<TimePoint, SentDigestQuery> replies;
+  // Replies that come after the end of their round, as over a full link.
+  const bool late = GENERATE(false, true);
+  const Duration delay = late ? milliseconds(30) : Duration::zero();
   constexpr int kSteps = 400;
   for (uint32_t i = 1; i <= kSteps; ++i) {
     // New flows, which need all agents, must not keep agents from their turn.
@@ -325,6 +329,11 @@
     for (const auto& query : queries) {
       rounds.emplace(query.number, query.at);
       ++asked[query.agent];
+      replies.emplace(f.now + delay, query);
+    }
+    while (!replies.empty() && replies.begin()->first <= f.now) {
+      const SentDigestQuery query = replies.begin()->second;
+      replies.erase(replies.begin());
       f.Reply(query, {});
     }
   }
--- a/tests/fuzz/decoder_fuzz.cc
+++ b/tests/fuzz/decoder_fuzz.cc
@@ -87,6 +87,10 @@
   report.state = schema::TargetState::kReady;
   report.accepted.resize(3);
   report.not_held.resize(2);
+  schema::FlowDigest digest;
+  digest.query = -7;
+  digest.hashes = {0, -1, 1 << 30};
+  report.__set_digest(digest);
   schema::SteeringMessage message;
   message.__set_report(report);
   return message;
