Give the lines of digest rounds a rate limit of their own

A burst of searches writes as many flow-searched lines as their kind may have in a second, so that the lines of the rounds would have been left out exactly then. EventKind has a kind for them.

--- a/packages/core/include/core/event_log.h
+++ b/packages/core/include/core/event_log.h
@@ -23,6 +23,7 @@
   kFlowOpened,      // A target accepted a new flow.
   kFlowRefused,     // A new flow was refused.
   kFlowLookup,      // A lookup of the target that holds a flow.
+  kDigestRound,     // Queries that resolved many lookups together.
   kFlowReset,       // A flow was reset.
   kMalformedInput,  // Input that cannot be parsed as a packet or message.
   kCount,
--- a/packages/steering/src/flow_balancer_agents.cc
+++ b/packages/steering/src/flow_balancer_agents.cc
@@ -110,7 +110,7 @@
 }
 
 void FlowBalancer::OnDigestRoundOver(const DigestRoundSummary& round) {
-  LogLine(log_, EventKind::kFlowLookup, kLogComponent, "digest-round")
+  LogLine(log_, EventKind::kDigestRound, kLogComponent, "digest-round")
       .Add("round", round.round)
       .Add("flows", round.searches)
       .Add("agents", round.agents)
