--- a/tests/fuzz/decoder_fuzz.cc
+++ b/tests/fuzz/decoder_fuzz.cc
@@ -89,6 +89,10 @@
   report.not_held.resize(2);
   report.zone.zone = "montreal";
   report.__isset.zone = true;
+  schema::FlowDigest digest;
+  digest.query = -7;
+  digest.hashes = {0, -1, 1 << 30};
+  report.__set_digest(digest);
   schema::SteeringMessage message;
   message.__set_report(report);
   return message;
