--- a/packages/registry/src/replica_follower.cc
+++ b/packages/registry/src/replica_follower.cc
@@ -121,8 +121,9 @@
   const bool may_be_restored = !loaded() && era_ != StoreEra();
   if (first_of_era || may_be_restored) KeepMissingEvacuations();
   for (const schema::KeyValue& item : list.items) {
-    if (IsDirectoryKey(item.key) || IsEvacuationKey(item.key))
+    if (IsDirectoryKey(item.key) || IsEvacuationKey(item.key)) {
       present.insert(item.key);
+    }
     if (ContradictsEarlierEra(item)) {
       HoldEntry(item);
       continue;
