--- a/tools/soak/evacuation.sh
+++ b/tools/soak/evacuation.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Part of run.sh: evacuates and restores the availability zone z0 while requests
 # run. Prints what does not hold and returns 1 then.
 
