Send the limit to all agents of a limited service; soak mode "cold"; docs

Cause, found by running the real programs: a target whose clock was set back is confirmed by its agent only after a second, in which it got 22 and 32 flows (limit 4); an agent that had restarted beside a warm target did not know the limit when the target started again (17 flows).

Change: the announcement of an unconfirmed target already makes the target cold. The three notifiers send the limit at a new entry and at a changed limit also if the target is warm, three notices per agent. Tried and dropped: sending the limit again after each refusal; the report of the refusal causes it already.

--- a/packages/placement/src/target_directory.cc
+++ b/packages/placement/src/target_directory.cc
@@ -57,9 +57,10 @@
   if (other_target || record.slow_start_ms != view.record.slow_start_ms) {
     view.slow_start_since = now;
     view.slow_start_room.reset();
-    view.limit_sent = 0;
     view.limit_notices = 0;
   }
+  // The agent's process may have restarted.
+  view.limit_sent = 0;
   view.record = record;
   view.zone_restored = RestoredAt(record.zone);
   view.agent = agent;
--- a/packages/placement/tests/slow_start_placement_test.cc
+++ b/packages/placement/tests/slow_start_placement_test.cc
@@ -107,12 +107,12 @@
   targets.directory.Put(kNow + seconds(4), "1", record, StoreRevision(11));
   CHECK_FALSE(InSlowStart(kNow + seconds(5), targets.View(1)));
   CHECK(targets.View(1).limit_notices == 5);
+  // The agent's process may have restarted and not know the limit.
+  CHECK(targets.View(1).limit_sent == 0);
   // Another number of slots, later in the slow start.
   record.slow_start_ms = 500;
   targets.directory.Put(kNow + seconds(4), "1", record, StoreRevision(12));
   CHECK(InSlowStart(kNow + milliseconds(4499), targets.View(1)));
-  // The agent's process may have restarted and not know the limit.
-  CHECK(targets.View(1).limit_sent == 0);
   CHECK(targets.View(1).limit_notices == 0);
 }
 
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -300,6 +300,11 @@
    * @return whether it was not in slow start before
    */
   bool LearnColdTime(TimePoint now, const TargetAnnouncement& announcement);
+  /**
+   * Takes the target for cold if the announcement may be of a new target whose
+   * clock was set back, until the next announcement of the current one.
+   */
+  void LearnReplacement(TimePoint now, const TargetAnnouncement& announcement);
   /**
    * Applies the limit of a notice, or its absence, unless a later version of
    * the configuration is known.
--- a/packages/steering/include/steering/target_monitor.h
+++ b/packages/steering/include/steering/target_monitor.h
@@ -64,6 +64,13 @@
   void Recall(const std::string& id, int64_t born_ms);
   AnnouncementEffect OnAnnouncement(TimePoint now,
                                     const TargetAnnouncement& announcement);
+  /**
+   * Returns whether the announcement is of an unknown target with an earlier
+   * start time that may have replaced the current one.
+   */
+  bool MayBeReplacement(const TargetAnnouncement& announcement) const {
+    return replacement_ && SameIncarnation(*replacement_, announcement);
+  }
   /** Marks the target as gone if it has that id. Returns whether it has. */
   bool OnDeregister(const std::string& id);
   /** Records the delivery of a packet that needs an answer. */
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -381,8 +381,11 @@
     // the target started.
     saw_target_start_ = true;
   }
-  const bool cold_again =
-      effect != AnnouncementEffect::kStale && LearnColdTime(now, announcement);
+  if (effect == AnnouncementEffect::kStale) {
+    LearnReplacement(now, announcement);
+    return effect;
+  }
+  const bool cold_again = LearnColdTime(now, announcement);
   // Balancers learn from the entry that they should send the limit again.
   return cold_again ? std::max(effect, AnnouncementEffect::kChanged) : effect;
 }
--- a/packages/steering/src/flow_agent_slow_start.cc
+++ b/packages/steering/src/flow_agent_slow_start.cc
@@ -1,5 +1,6 @@
 // The part of FlowAgent that limits new flows to a target in slow start.
 
+#include <algorithm>
 #include <cmath>
 
 #include "steering/flow_agent.h"
@@ -38,6 +39,16 @@
   return slow_start_.Cold(now) && !was_cold;
 }
 
+void FlowAgent::LearnReplacement(TimePoint now,
+                                 const TargetAnnouncement& announcement) {
+  // Such a target gets all flows for a second before it is confirmed.
+  if (!target_monitor_.MayBeReplacement(announcement)) return;
+  const TimePoint until =
+      now + std::chrono::milliseconds(announcement.slow_start_ms);
+  slow_start_.SetColdUntil(std::max(slow_start_.cold_until(), until));
+  UpdateLimited(now);
+}
+
 void FlowAgent::OnZoneRestored(TimePoint now) {
   assumed_cold_since_ = now;
   AssumeColdTime();
--- a/packages/steering/src/flow_balancer_notices.cc
+++ b/packages/steering/src/flow_balancer_notices.cc
@@ -82,6 +82,8 @@
     notices_.OnOutdated(now, agent.agent, zones_.Find(zone)->known_since);
   } else if (LacksLimit(now, agent)) {
     notices_.OnOutdated(now, agent.agent, LimitKnownSince(agent));
+    // Until the notice arrives, the agent delivers flows without a limit.
+    SendNotices(now);
   } else {
     notices_.OnConfirmed(agent.agent);
   }
--- a/packages/steering/src/flow_balancer_slow_start.cc
+++ b/packages/steering/src/flow_balancer_slow_start.cc
@@ -35,7 +35,7 @@
     limit_changes_[service] = {routes_.version, now};
     for (AgentView* agent : directory_.OfService(service)) {
       agent->limit_notices = 0;
-      if (InSlowStart(now, *agent)) notices_.Begin(now, agent->agent);
+      notices_.Begin(now, agent->agent);
     }
   }
 }
@@ -49,10 +49,11 @@
   const SlowStart* limit = routes_.FindSlowStart(agent.record.service_name);
   const auto& room = agent.slow_start_room;
   if (limit == nullptr) return room.has_value();
-  if (!room) return InSlowStart(now, agent);
-  // The room does not show which limit the agent applies. More room than the
-  // limit shows an outdated one; else each notifier sends the new limit once.
-  if (*room > AppliedLimit(*limit)) return true;
+  if (!room && InSlowStart(now, agent)) return true;
+  if (room && *room > AppliedLimit(*limit)) return true;
+  // Nothing shows which limit the agent would apply, so each notifier sends it
+  // once: an agent has to know it when its target starts again, before the
+  // target's new entry is known here.
   const auto change = limit_changes_.find(agent.record.service_name);
   return change != limit_changes_.end() &&
          agent.limit_sent < change->second.version &&
--- a/packages/steering/tests/flow_agent_slow_start_test.cc
+++ b/packages/steering/tests/flow_agent_slow_start_test.cc
@@ -204,6 +204,27 @@
   CHECK(one.ReportedRoom(kNow) == -1);
 }
 
+// The agent confirms a target with an earlier start time only after a second,
+// but the flows reach the new one at once.
+TEST_CASE("A new target whose clock was set back is limited from the start") {
+  SingleAgent one;
+  one.Announce(kNow, 0, 1);
+  one.Notify(kNow, 4, 1);
+  TargetAnnouncement replaced;
+  replaced.id = "u";
+  replaced.born_ms = 0;
+  replaced.service = "orders";
+  replaced.slots = 100;
+  replaced.slow_start_ms = 9000;
+  replaced.sequence = 1;
+  CHECK(one.agent.OnAnnouncement(kNow + seconds(10), replaced) ==
+        AnnouncementEffect::kStale);
+  CHECK(one.ReportedRoom(kNow + seconds(10)) == 4);
+  // The target was not replaced: the announcement was a late one.
+  one.Announce(kNow + milliseconds(10300), 0, 2);
+  CHECK(one.ReportedRoom(kNow + milliseconds(10300)) == -1);
+}
+
 TEST_CASE("A young agent without an announcement takes the notice's duration") {
   SingleAgent one;
   one.Notify(kNow + seconds(1), 4, 1, 3000);
--- a/tools/soak/configuration_changes.cc
+++ b/tools/soak/configuration_changes.cc
@@ -56,7 +56,13 @@
   return {0xc6120003, static_cast<uint16_t>(kFirstProbePort + version)};
 }
 
-std::string ConfigurationChanges::DocumentOf(int version) {
+std::string ConfigurationChanges::DocumentOf(int version) const {
+  Json services = Json::array();
+  for (const char* name : {"orders", "reports"}) {
+    services.push_back({{"name", name},
+                        {"slowStartS", world_.options.slow_start_ms / 1000.0},
+                        {"warmupPerS", world_.options.warmup_per_s}});
+  }
   const Json document = {
       {"version", version},
       {"routes",
@@ -66,7 +72,7 @@
                       version),
             RouteJson("probe-" + std::to_string(version), ProbeRoute(version),
                       "orders", version)})},
-      {"services", Json::array()},
+      {"services", services},
       {"limits", {{"idleTimeoutMs", 15000}}}};
   return document.dump();
 }
--- a/tools/soak/configuration_changes.h
+++ b/tools/soak/configuration_changes.h
@@ -47,7 +47,7 @@
   void OnVersionServed(const VersionProbe& probe);
   /** Returns the route that only `version` has. */
   static Endpoint ProbeRoute(int version);
-  static std::string DocumentOf(int version);
+  std::string DocumentOf(int version) const;
 
   PacketWorld& world_;
   HttpClient store_;
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -24,6 +24,9 @@
   app.add_flag("--drains,!--no-drains", options.drains);
   app.add_flag("--changes,!--no-changes", options.changes,
                "Change the configuration again and again");
+  app.add_option("--slow-start-ms", options.slow_start_ms);
+  app.add_option("--warmup-per-s", options.warmup_per_s,
+                 "Limit of new flows to a target in slow start; 0: none");
   app.add_flag("--planned", planned, "Faults are planned: no flow may break");
   CLI11_PARSE(app, argc, argv);
   signal(SIGPIPE, SIG_IGN);
@@ -36,6 +39,7 @@
       seen.wrong_answers == 0 && seen.changed_packets == 0 &&
       seen.calm_requests > 0 && seen.calm_failed == 0 &&
       seen.flows_after_drain == 0 && seen.versions_late == 0 &&
+      sesamesaddle::KeptSlowStart(options, seen) &&
       (!planned || (seen.resets == 0 && seen.versions_back == 0));
   printf(
       "soak: requests=%ld answered=%ld calm_requests=%ld calm_answered=%ld "
@@ -43,11 +47,13 @@
       "resets=%ld duplicate_runs=%ld wrong_service=%ld wrong_answers=%ld "
       "changed_packets=%ld shed=%ld flows_after_drain=%ld crashes=%ld "
       "drains=%ld versions=%ld versions_late=%ld versions_back=%ld "
+      "most_cold_flows=%ld "
       "verdict=%s\n",
       seen.requests, seen.answered, seen.calm_requests, seen.calm_answered,
       seen.calm_failed, seen.resets, seen.duplicate_runs, seen.wrong_service,
       seen.wrong_answers, seen.changed_packets, seen.shed,
       seen.flows_after_drain, seen.crashes, seen.drains, seen.versions,
-      seen.versions_late, seen.versions_back, passed ? "held" : "BROKEN");
+      seen.versions_late, seen.versions_back, seen.most_cold_flows,
+      passed ? "held" : "BROKEN");
   return passed ? 0 : 1;
 }
--- a/tools/soak/run.sh
+++ b/tools/soak/run.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
-# run.sh SEED SECONDS [PORT] [calm|planned|mixed|returns|evacuate]: runs the real programs and
+# run.sh SEED SECONDS [PORT] [calm|planned|mixed|returns|evacuate|cold]: runs the real programs and
 # injects faults. calm: no faults. planned: balancers restart, targets drain.
 # mixed: signals, target crashes, packet loss, and faults of the store and of the
 # connections to it. returns: the same, and the store often comes back from a copy
 # of its data. evacuate: an availability zone is evacuated and restored
-# (evacuation.sh). The seed determines the faults and their order; the script
+# (evacuation.sh). cold: targets crash and start slowly with a limit of WARMUP new
+# flows per second; agents and balancers are killed meanwhile. The seed determines the faults and their order; the script
 # prints them if the run fails. BALANCERS, TARGETS and CLIENTS set sizes.
 # Ends only the processes that it started, by their ids.
 set -uo pipefail
@@ -67,8 +68,9 @@
   calm | evacuate) WORLD_MODE=(--planned --lost-packets 0 --no-crashes --no-drains) ;;
   planned) WORLD_MODE=(--planned --no-crashes) ;;
   mixed | returns) WORLD_MODE=() ;;
+  cold) WORLD_MODE=(--lost-packets 0 --no-drains --slow-start-ms 4000 --warmup-per-s "${WARMUP:-4}") ;;
   *)
-    echo "run.sh: unknown mode \"$MODE\"; expected calm, planned, mixed, returns or evacuate" >&2
+    echo "run.sh: unknown mode \"$MODE\"; expected calm, planned, mixed, returns, evacuate or cold" >&2
     exit 2
     ;;
 esac
@@ -95,6 +97,10 @@
 while [ "$MODE" != calm ] && [ "$MODE" != evacuate ] && [ $SECONDS -lt $end ]; do
   if [ "$MODE" = planned ]; then
     name="balancer-$((RANDOM % BALANCERS))" fault=TERM
+  elif [ "$MODE" = cold ]; then
+    case $((RANDOM % 3)) in 0) name="balancer-$((RANDOM % BALANCERS))" ;; *) name="agent-$((RANDOM % TARGETS))" ;; esac
+    fault=KILL
+    sleep 2
   else
     case $((RANDOM % 3)) in 0) name="balancer-$((RANDOM % BALANCERS))" ;; *) name="agent-$((RANDOM % TARGETS))" ;; esac
     case $((RANDOM % 8)) in 0) fault=TERM ;; 1 | 2) fault=KILL ;; 3) fault=PAUSE ;; 4) fault=HUP ;; 5) fault=STORE ;; *) fault=NETWORK ;; esac
--- a/tools/soak/soak_options.h
+++ b/tools/soak/soak_options.h
@@ -27,6 +27,10 @@
   bool drains = true;
   /** The configuration changes periodically. */
   bool changes = true;
+  /** Duration of the targets' slow start. */
+  int slow_start_ms = 1500;
+  /** Limit of new flows per second to a target in slow start; 0: none. */
+  int warmup_per_s = 0;
 
   Endpoint Balancer(int i, int port) const { return Address(1, i, port); }
   Endpoint Target(int i, int port) const { return Address(2, i, port); }
@@ -75,8 +79,24 @@
   int64_t versions_late = 0;
   /** Responses from an older version than the balancer had served before. */
   int64_t versions_back = 0;
+  /** Most new flows of a target in slow start in any sliding second. */
+  int64_t most_cold_flows = 0;
 };
 
+/**
+ * Returns whether targets in slow start got no more new flows than the users'
+ * sites allow, which is more than the limit: `bounds.slowStartOver` times the
+ * limit plus `bounds.slowStartSlack`.
+ */
+inline bool KeptSlowStart(const SoakOptions& options,
+                          const SoakVerdict& verdict) {
+  constexpr double kOver = 1.5;
+  constexpr double kSlack = 5;
+  return options.warmup_per_s == 0 ||
+         static_cast<double>(verdict.most_cold_flows) <=
+             options.warmup_per_s * kOver + kSlack;
+}
+
 /** Returns whether the request must run at most once, from its id. */
 inline bool IsNonIdempotent(const std::string& id) { return id[0] == 'w'; }
 
--- a/tools/soak/soak_target.cc
+++ b/tools/soak/soak_target.cc
@@ -15,7 +15,6 @@
 constexpr int kSlots = 3;
 constexpr size_t kQueueLimit = 6;
 // During slow start a request takes kSlowStartFactor times as long.
-constexpr Duration kSlowStart = std::chrono::milliseconds(1500);
 constexpr int kSlowStartFactor = 3;
 constexpr Duration kDrainDuration = std::chrono::milliseconds(2500);
 // Time after an acknowledged drain from which the users' sites allow no new
@@ -56,6 +55,7 @@
   born_ms_ = set_back ? born_ms_ - kClockStepMs
                       : std::max(born_ms_ + 1, WallClockMs());
   started_ = world_.loop.Now();
+  cold_flows_.clear();
   draining_ = false;
   drain_acknowledged_ = TimePoint();
   Announce();
@@ -75,8 +75,8 @@
 }
 
 void SoakTarget::Announce() {
-  const auto slow_left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::max(Duration::zero(), kSlowStart - (world_.loop.Now() - started_)));
+  const auto slow_left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(SlowStartLeft());
   const nlohmann::json body = {
       {"service", service_},
       {"address", world_.options.Target(index_, SoakOptions::kApp).ToString()},
@@ -160,6 +160,7 @@
     const bool late = drain_acknowledged_ != TimePoint() &&
                       world_.loop.Now() - drain_acknowledged_ > kNewFlowBound;
     if (late) ++world_.verdict.flows_after_drain;
+    RecordColdFlow();
   }
   PacketHeader answer;
   answer.source = flow.service;
@@ -169,6 +170,24 @@
   Send(PacketWorld::MakePacket(answer, ""));
 }
 
+Duration SoakTarget::SlowStartLeft() const {
+  const Duration slow_start =
+      std::chrono::milliseconds(world_.options.slow_start_ms);
+  return std::max(Duration::zero(),
+                  slow_start - (world_.loop.Now() - started_));
+}
+
+void SoakTarget::RecordColdFlow() {
+  if (SlowStartLeft() == Duration::zero()) return;
+  const TimePoint now = world_.loop.Now();
+  cold_flows_.push_back(now);
+  while (now - cold_flows_.front() > std::chrono::seconds(1)) {
+    cold_flows_.pop_front();
+  }
+  world_.verdict.most_cold_flows = std::max(
+      world_.verdict.most_cold_flows, static_cast<int64_t>(cold_flows_.size()));
+}
+
 void SoakTarget::OnRequest(const Flow& flow, FlowState& entry,
                            const PacketHeader& head, const std::string& id) {
   const uint32_t end = head.sequence + head.payload_bytes;
@@ -194,7 +213,7 @@
     queue_.pop_front();
     ++running_;
     const int incarnation = incarnation_;
-    const bool slow = world_.loop.Now() - started_ < kSlowStart;
+    const bool slow = SlowStartLeft() > Duration::zero();
     world_.loop.Schedule(kRequestTime * (slow ? kSlowStartFactor : 1),
                          [this, queued, incarnation] {
                            if (incarnation != incarnation_) return;
--- a/tools/soak/soak_target.h
+++ b/tools/soak/soak_target.h
@@ -48,6 +48,10 @@
   std::string InstanceId() const;
   void OnPacket(char* bytes, size_t size);
   void OnSyn(const Flow& flow, const PacketHeader& head);
+  /** Counts a new flow if the target is in slow start. */
+  void RecordColdFlow();
+  /** Returns how much longer the slow start takes; zero after it. */
+  Duration SlowStartLeft() const;
   void OnRequest(const Flow& flow, FlowState& entry, const PacketHeader& head,
                  const std::string& id);
   void StartQueuedRequests();
@@ -67,6 +71,8 @@
   int64_t born_ms_ = 0;
   int incarnation_ = 0;
   TimePoint started_{};
+  /** Times of the new flows of the last second of the slow start. */
+  std::deque<TimePoint> cold_flows_;
   bool draining_ = false;
   /** Time at which the agent acknowledged the drain. */
   TimePoint drain_acknowledged_{};
