--- a/tools/soak/evacuation.sh
+++ b/tools/soak/evacuation.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Part of run.sh: evacuates and restores the availability zone z0 while requests
 # run. Prints what does not hold and returns 1 then.
 
@@ -56,7 +57,10 @@
   # The platform's bound from the acknowledgement on.
   wait_for 50 all_show 1 || return 1
   no_new_flows 2 || return 1
+  # One at a time: a fresh balancer notifies all agents, also a fresh one.
   restart balancer-0 KILL
+  wait_for 50 all_show 1 || return 1
+  sleep 3
   restart agent-0 KILL
   wait_for 50 all_show 1 || return 1
   no_new_flows 1 || return 1
