--- a/packages/steering/tests/slow_start_test.cc
+++ b/packages/steering/tests/slow_start_test.cc
@@ -362,6 +362,25 @@
   CHECK(MostPerSecond(*world.targets[0]) > kLimit);
 }
 
+// The targets of a restored zone may have been started shortly before, and the
+// load of the other zones would return at once.
+TEST_CASE("The targets of a restored zone are limited until they announce") {
+  LimitedWorld world(4, 4);
+  world.SetZone(0, "restored");
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  world.Evacuate("restored");
+  SendRequests(world, seconds(1), milliseconds(100));
+  REQUIRE(world.agent(0)->zone_evacuated());
+  world.targets[0]->accepted_at.clear();
+  world.Restore("restored");
+  SendRequests(world, seconds(5), milliseconds(100));
+  CHECK_FALSE(world.targets[0]->accepted_at.empty());
+  CHECK(MostPerSecond(*world.targets[0]) <= kLimit);
+  world.Announce(0);
+  SendRequests(world, seconds(2), milliseconds(100));
+  CHECK(MostPerSecond(*world.targets[0]) > kLimit);
+}
+
 TEST_CASE("A lost notice is sent again") {
   LimitedWorld world(4, 4);
   for (int i = 0; i < 40; ++i) world.AddClient(false);
