--- a/packages/flow_location/src/flow_locator.cc
+++ b/packages/flow_location/src/flow_locator.cc
@@ -107,7 +107,8 @@
     return true;
   }
   if (now >= search.next_round) return false;
-  return std::any_of(search.queried.begin(), search.queried.end(),
+  // Queries are sent in order of agents, so the last ones reply last.
+  return std::any_of(search.queried.rbegin(), search.queried.rend(),
                      [this, &search](const auto& query) {
                        return !IsDenied(search, query.first) &&
                               !search.IsUnsure(query.first);
