--- a/packages/steering_daemon/src/steering_tables.cc
+++ b/packages/steering_daemon/src/steering_tables.cc
@@ -178,11 +178,6 @@
   return std::max(0, view.record.slots - work);
 }
 
-bool Cold(TimePoint now, const AgentView& view) {
-  return now - view.listed_since <
-         std::chrono::milliseconds(view.record.slow_start_ms);
-}
-
 schema::Table LoadTable(const BalancerTableSources& sources) {
   std::map<std::pair<std::string, std::string>, LoadTotals> loads;
   for (const AgentView* view : sources.directory.All()) {
@@ -194,7 +189,7 @@
     totals.free += usable ? FreeSlots(*view) : 0;
     totals.in_progress += view->in_flight;
     totals.queued += view->queued;
-    totals.cold += Cold(sources.now, *view) ? 1 : 0;
+    totals.cold += InSlowStart(sources.now, *view) ? 1 : 0;
   }
   TableBuilder table({"service", "zone", "targets", "usable", "slots", "free",
                       "in_progress", "queued", "cold"});
