--- a/packages/steering/tests/overload_test.cc
+++ b/packages/steering/tests/overload_test.cc
@@ -32,21 +32,25 @@
   int answered = 0;
 };
 
-/**
- * All processes lose power for a second while 200 requests a second arrive, a
- * third of them of a higher priority. The targets can serve 227 a second.
- */
-Outcome SimulatePowerLoss(QueueOrder order) {
-  SteeringWorld world(kBalancers, kTargets, 29);
-  world.queue_order = order;
-  const Endpoint urgent_route(0xc6120001, 444);
+constexpr int kRequests = 600;
+constexpr Duration kRequestInterval = milliseconds(5);
+constexpr Duration kOutage = seconds(1);
+
+const Endpoint kUrgentRoute(0xc6120001, 444);
+
+bool IsUrgent(int request) { return request % 3 != 0; }
+
+std::string RequestId(int request) { return "r" + std::to_string(request); }
+
+/** Adds a route of a higher priority and ends all processes. */
+void LosePower(SteeringWorld& world) {
   Route& route = world.routes.routes.begin()->second;
   route.priority = 2;
   route.target_latency = kTargetLatency;
   route.timeout = seconds(3);
   Route urgent = route;
   urgent.priority = 1;
-  world.routes.routes[urgent_route] = urgent;
+  world.routes.routes[kUrgentRoute] = urgent;
   world.routes.version = 2;
   for (size_t i = 0; i < kTargets; ++i) {
     world.targets[i]->work = milliseconds(44);
@@ -54,33 +58,40 @@
     world.targets[i]->Crash();
   }
   for (size_t i = 0; i < kBalancers; ++i) world.KillBalancer(i);
-  constexpr int kRequests = 600;
+}
+
+void RestorePower(SteeringWorld& world) {
+  for (size_t i = 0; i < kTargets; ++i) {
+    world.targets[i]->Start();
+    world.StartAgent(i);
+    world.AnnounceStart(i);
+  }
+  for (size_t i = 0; i < kBalancers; ++i) world.StartBalancer(i);
+}
+
+/**
+ * All processes lose power for a second while 200 requests a second arrive,
+ * two thirds of them of a higher priority. The targets can serve 227 a second.
+ */
+Outcome SimulatePowerLoss(QueueOrder order) {
+  SteeringWorld world(kBalancers, kTargets, 29);
+  world.queue_order = order;
+  LosePower(world);
   for (int i = 0; i < kRequests; ++i) {
-    const bool is_urgent = i % 3 != 0;
     VirtualFlowClient& client = world.AddClient(
-        false, is_urgent ? urgent_route : SteeringWorld::RouteAddress());
+        false, IsUrgent(i) ? kUrgentRoute : SteeringWorld::RouteAddress());
     client.deadline = seconds(3);
-    world.scheduler.After(milliseconds(5 * i), [&client, i] {
-      client.Request("r" + std::to_string(i));
-    });
+    world.scheduler.After(i * kRequestInterval,
+                          [&client, i] { client.Request(RequestId(i)); });
   }
-  constexpr Duration kOutage = milliseconds(1000);
-  world.scheduler.After(kOutage, [&world] {
-    for (size_t i = 0; i < kTargets; ++i) {
-      world.targets[i]->Start();
-      world.StartAgent(i);
-      world.AnnounceStart(i);
-    }
-    for (size_t i = 0; i < kBalancers; ++i) world.StartBalancer(i);
-  });
+  world.scheduler.After(kOutage, [&world] { RestorePower(world); });
   world.RunFor(seconds(7));
   Outcome outcome;
   for (int i = 0; i < kRequests; ++i) {
-    const ClientResult& result =
-        world.clients[i]->results["r" + std::to_string(i)];
+    const ClientResult& result = world.clients[i]->results[RequestId(i)];
     outcome.answered += result.answered ? 1 : 0;
-    if (milliseconds(5 * i) < kOutage + milliseconds(20)) continue;
-    Served& served = i % 3 != 0 ? outcome.urgent : outcome.others;
+    if (i * kRequestInterval < kOutage + milliseconds(20)) continue;
+    Served& served = IsUrgent(i) ? outcome.urgent : outcome.others;
     ++served.requests;
     served.answered += result.answered ? 1 : 0;
     served.in_time += result.answered && result.took <= kTargetLatency ? 1 : 0;
