--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -40,8 +40,8 @@
       log_(log),
       response_times_(response_times),
       queue_(options_.queue_order),
-      started_(now),
-      assumed_cold_since_(now) {}
+      assumed_cold_since_(now),
+      started_(now) {}
 
 const std::string& FlowAgent::service() const {
   return target_monitor_.known() ? target_monitor_.announcement().service
