--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -47,7 +47,7 @@
 }
 
 Duration FlowAgent::ExpectedServiceTime() const {
-  // Half of the mean covers most of the spread of response times.
+  // Half of the mean is a margin for the spread of response times.
   return response_time_ + response_time_ / 2 + handshake_time_.Timeout();
 }
 
