--- a/packages/admission/include/admission/admission_control.h
+++ b/packages/admission/include/admission/admission_control.h
@@ -37,14 +37,6 @@
    */
   static AdmissionDecision Decide(const Route& route, double work,
                                   Duration waited);
-  /**
-   * The same for QueueOrder::kDeadline. A flow in time goes to its target
-   * whatever the load, as it takes the place of a late one there. A late flow
-   * waits for room until its client's attempt is over: a refusal would only
-   * bring it back at once, in a new flow that looks as if it were in time.
-   */
-  static AdmissionDecision DecideByDeadline(const Route& route, double work,
-                                            Duration waited);
   /**
    * Whether the client is about to give up a flow that was not opened yet, so
    * that a target would only work for a client that is gone.
--- a/packages/admission/src/admission_control.cc
+++ b/packages/admission/src/admission_control.cc
@@ -11,16 +11,6 @@
   return std::min(kMaxWait, route.timeout / kTimeoutToWaitRatio);
 }
 
-AdmissionDecision AdmissionControl::DecideByDeadline(const Route& route,
-                                                     double work,
-                                                     Duration waited) {
-  if (waited <= route.target_latency || work <= kMaxWorkPerSlot) {
-    return AdmissionDecision::kPlace;
-  }
-  return AttemptIsOver(route, waited) ? AdmissionDecision::kRefuse
-                                      : AdmissionDecision::kWait;
-}
-
 bool AdmissionControl::AttemptIsOver(const Route& route, Duration waited) {
   // The client's next packet has to arrive in time, too.
   return waited + HandshakeTimeEstimator::kMaxTimeout >=
--- a/packages/steering/src/flow_balancer_admission.cc
+++ b/packages/steering/src/flow_balancer_admission.cc
@@ -38,12 +38,8 @@
 bool FlowBalancer::Admit(TimePoint now, const Flow& flow, const Route& route,
                          const AgentView& chosen, PendingSyn& pending) {
   const double work = WorkPerSlot(now, chosen);
-  const bool by_deadline = queue_order_ == QueueOrder::kDeadline;
-  const Duration waited = now - (by_deadline ? pending.sent : pending.arrived);
-  const AdmissionDecision decision =
-      by_deadline ? AdmissionControl::DecideByDeadline(route, work, waited)
-                  : AdmissionControl::Decide(route, work, waited);
-  switch (decision) {
+  const Duration waited = now - pending.arrived;
+  switch (AdmissionControl::Decide(route, work, waited)) {
     case AdmissionDecision::kPlace:
       pending.waiting_for_room = false;
       return true;
