No open flow is reset because the answers of all agents come late

A balancer with 0.028 cores and a link of 10 Mbit/s searched for the flows of balancers that had lost power; the replies of all agents came late, and open flows of several living targets were reset as target-silent within 22 ms. An agent now counts as unreachable only after three times the mean delay of answers. The new case of placement_test fails without it.

--- a/packages/placement/include/placement/target_directory.h
+++ b/packages/placement/include/placement/target_directory.h
@@ -103,6 +103,11 @@
    * unreachable; fewer reports may have been lost in the network.
    */
   static constexpr int kMinUnansweredProbes = 3;
+  /**
+   * An agent is not unreachable until it has been silent for this many times
+   * the mean delay of answers: on a full link all of them come late.
+   */
+  static constexpr int kMinAnswerDelays = 3;
 
   /** A silent agent is tried again after this time without a request. */
   static constexpr Duration kSilentAgentRetryDelay =
@@ -176,6 +181,7 @@
 
  private:
   void RebuildServiceIndex();
+  void RecordAnswerDelay(Duration delay);
   /** Returns when the zone was restored; zero if it is evacuated or never was.
    */
   TimePoint RestoredAt(const std::string& zone) const;
@@ -183,6 +189,8 @@
   const ZoneEvacuations& zones_;
   std::map<Endpoint, AgentView> agents_;
   TimePoint last_report_from_any_{};
+  /** Moving average of the time from a request to the agent's next report. */
+  Duration answer_delay_{};
   std::map<std::string, Endpoint> by_key_;
   std::map<std::string, std::vector<AgentView*>> by_service_;
 };
--- a/packages/placement/src/target_directory.cc
+++ b/packages/placement/src/target_directory.cc
@@ -9,6 +9,9 @@
 
 // Share of its slots that is assumed for a target during its slow start.
 constexpr double kSlowStartShare = 0.6;
+// Each answer moves the average delay by 1 / kAnswerDelayDivisor, so that an
+// agent that comes back after seconds hardly changes it.
+constexpr int kAnswerDelayDivisor = 8;
 // The reported room of a slow start is for a sliding second. After that the
 // balancer places one flow, which brings a new report.
 constexpr Duration kRoomValidity = std::chrono::seconds(1);
@@ -138,6 +141,9 @@
   view->queued = report.queued;
   view->last_report = now;
   view->reported = true;
+  if (view->unanswered_probes > 0) {
+    RecordAnswerDelay(now - view->unanswered_since);
+  }
   view->unanswered_probes = 0;
   view->restarting = report.restarting;
   view->slow_start_room = report.__isset.slow_start_room
@@ -175,8 +181,15 @@
          last_report_from_any_ > view.unanswered_since + kSilenceTimeout / 2;
 }
 
+void TargetDirectory::RecordAnswerDelay(Duration delay) {
+  answer_delay_ += (delay - answer_delay_) / kAnswerDelayDivisor;
+}
+
 bool TargetDirectory::Unreachable(TimePoint now, const AgentView& view) const {
   if (!Silent(now, view)) return false;
+  if (now - view.unanswered_since <= kMinAnswerDelays * answer_delay_) {
+    return false;
+  }
   const bool last_had_time = now - view.last_probe >= kReplyTimeout;
   return view.unanswered_probes - (last_had_time ? 0 : 1) >=
          kMinUnansweredProbes;
--- a/packages/placement/tests/target_directory_test.cc
+++ b/packages/placement/tests/target_directory_test.cc
@@ -147,6 +147,47 @@
   CHECK_FALSE(directory.Unreachable(now, view));
 }
 
+// Guards against resets of open flows by a balancer whose link is full: the
+// answers of all agents came over 450 ms late, and it took them for gone.
+TEST_CASE("No agent is unreachable while the answers of all come late") {
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
+  constexpr uint32_t kAgents = 6;
+  for (uint32_t i = 1; i <= kAgents; ++i) {
+    directory.Put(kNow, std::to_string(i), MakeRecord(i), StoreRevision(i));
+  }
+  AgentView& view = *directory.Find(Endpoint(1, 8172));
+  constexpr Duration kDelay = milliseconds(800);
+  TimePoint now = kNow;
+  // Each agent answers one request after another, 800 ms late.
+  std::vector<TimePoint> requested(kAgents + 1, kNow);
+  for (; now < kNow + seconds(8); now += milliseconds(10)) {
+    for (uint32_t i = 1; i <= kAgents; ++i) {
+      TargetDirectory::RecordReportRequest(now,
+                                           *directory.Find(Endpoint(i, 8172)));
+      if (now - requested[i] < kDelay + milliseconds(20 * i)) continue;
+      directory.OnReport(now, MakeReport(i));
+      requested[i] = now;
+    }
+    if (now < kNow + seconds(4)) continue;  // Until the delay is known.
+    CHECK_FALSE(directory.Unreachable(now, view));
+  }
+  // One that never answers again is still found.
+  bool found = false;
+  for (const TimePoint end = now + seconds(4); now < end;
+       now += milliseconds(10)) {
+    for (uint32_t i = 1; i <= kAgents; ++i) {
+      TargetDirectory::RecordReportRequest(now,
+                                           *directory.Find(Endpoint(i, 8172)));
+      if (i == 1 || now - requested[i] < kDelay) continue;
+      directory.OnReport(now, MakeReport(i));
+      requested[i] = now;
+    }
+    found = found || directory.Unreachable(now, view);
+  }
+  CHECK(found);
+}
+
 TEST_CASE("A restarting agent is usable after its new entry or a timeout") {
   ZoneEvacuations zones;
   TargetDirectory directory(zones);
