A handover revokes the Echo values of its flow at the sender

Ruled out: a second copy of the datagram, the deduplication tables, offloading.

Change: a handover that is acknowledged revokes the values of the flow at the sender, as one that is given up did already. A value whose outcome is remembered is still answered from memory. Two further ways to a second run, found by reading: a revocation was lost when the flow moved on (a grant now says until when its issuer's values are expired, and revoked grants are not passed on), and a batch that one copy refused could be accepted from a later copy while the sender kept its flows (all copies get the first answer).

--- a/packages/agent/include/agent/agent.h
+++ b/packages/agent/include/agent/agent.h
@@ -161,10 +161,10 @@
 
   // Flows.
   schema::FlowState ExportFlow(const Flow& flow) const;
-  void DropFlow(const Flow& flow, Outbox& out);
+  void DropFlow(TimePoint now, const Flow& flow, Outbox& out);
   void OnHandover(TimePoint now, const Endpoint& from,
                   const schema::Handover& handover, Outbox& out);
-  bool AcceptsHandover(TimePoint now, ServiceId service) const;
+  bool AcceptsHandover(TimePoint now, const schema::Handover& handover) const;
   void ImportFlow(TimePoint now, const schema::FlowState& state, Outbox& out);
   void HandOverFlows(TimePoint now, Outbox& out);
   /** Hands flows with two owners to the one of the later epoch. */
--- a/packages/agent/include/agent/handover.h
+++ b/packages/agent/include/agent/handover.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -25,12 +26,13 @@
   static constexpr size_t kBatchesInFlight = 16;
   static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
   static constexpr int kMaxSends = 10;
-  static constexpr Duration kImportedRetention = std::chrono::seconds(60);
+  static constexpr Duration kDecisionRetention = std::chrono::seconds(60);
 
   /** Returns the whole state of a flow; Handover sets the epoch. */
   using Export = std::function<schema::FlowState(const Flow& flow)>;
   /** Called when a flow has a new owner, to drop its local state. */
-  using OnTransferred = std::function<void(const Flow& flow, Outbox& out)>;
+  using OnTransferred =
+      std::function<void(TimePoint now, const Flow& flow, Outbox& out)>;
   /** Called when a flow stays here but the recipient may own it as well. */
   using OnUncertain = std::function<void(TimePoint now, const Flow& flow)>;
 
@@ -48,9 +50,14 @@
   void OnAck(TimePoint now, const schema::HandoverAck& ack, Outbox& out);
   void OnTick(TimePoint now, Outbox& out);
 
-  /** Returns whether the batch was imported before, so is only acknowledged. */
-  bool AlreadyImported(const schema::Handover& handover) const;
-  void RecordImported(TimePoint now, const schema::Handover& handover);
+  /**
+   * Returns whether an earlier copy of a received batch was imported (true) or
+   * refused (false), so that all copies get the same acknowledgement: the
+   * sender keeps the flows of a batch that any acknowledgement refuses.
+   */
+  std::optional<bool> FindDecision(const schema::Handover& handover) const;
+  void RecordDecision(TimePoint now, const schema::Handover& handover,
+                      bool taken);
 
   bool HasRoom() const { return in_flight_.size() < kBatchesInFlight; }
   size_t flows_in_transit() const { return flows_in_transit_; }
@@ -64,6 +71,11 @@
     TimePoint next_send;
   };
 
+  struct Decision {
+    bool taken = false;
+    TimePoint at;
+  };
+
   void Send(TimePoint now, Batch& batch, Outbox& out);
   /** Keeps the flows of an unacknowledged batch, which may be owned twice. */
   void GiveUp(TimePoint now, const Batch& batch);
@@ -75,7 +87,7 @@
   OnUncertain on_uncertain_;
   std::map<MemberId, std::vector<schema::FlowState>> queued_flows_;
   std::map<int64_t, Batch> in_flight_;
-  std::map<std::pair<MemberId, int64_t>, TimePoint> imported_batches_;
+  std::map<std::pair<MemberId, int64_t>, Decision> decided_batches_;
   size_t flows_in_transit_ = 0;
   int64_t handed_over_ = 0;
   int64_t next_batch_ = 1;
--- a/packages/agent/src/agent.cc
+++ b/packages/agent/src/agent.cc
@@ -39,7 +39,9 @@
       handover_(
           control_, flows_,
           [this](const Flow& flow) { return ExportFlow(flow); },
-          [this](const Flow& flow, Outbox& out) { DropFlow(flow, out); },
+          [this](TimePoint now, const Flow& flow, Outbox& out) {
+            DropFlow(now, flow, out);
+          },
           [this](TimePoint now, const Flow& flow) {
             echo_.Revoke(now, flow);
           }) {}
--- a/packages/agent/src/agent_handover.cc
+++ b/packages/agent/src/agent_handover.cc
@@ -1,5 +1,7 @@
 // The part of Agent that hands flows over to other agents and imports them.
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "agent/agent.h"
@@ -25,22 +27,24 @@
     state.requests.push_back(std::move(remembered));
   }
   state.feeds = feeds_.Export(flow);
-  schema::EchoGrant own;
-  own.issuer = control_.self_id().value();
-  own.key = echo_.key();
-  state.grants.push_back(std::move(own));
-  for (const auto& [issuer, key] : echo_.Grants(flow)) {
-    schema::EchoGrant earlier;
-    earlier.issuer = issuer.value();
-    earlier.key = key;
-    state.grants.push_back(std::move(earlier));
+  for (const EchoGrant& grant : echo_.Grants(flow)) {
+    schema::EchoGrant exported;
+    exported.issuer = grant.issuer.value();
+    exported.key = grant.key;
+    if (grant.expired_until != TimePoint{}) {
+      exported.__set_expired_until_us(
+          grant.expired_until.time_since_epoch().count());
+    }
+    state.grants.push_back(std::move(exported));
   }
   return state;
 }
 
-void Agent::DropFlow(const Flow& flow, Outbox& out) {
+void Agent::DropFlow(TimePoint now, const Flow& flow, Outbox& out) {
   feeds_.RemoveFlow(flow, out);
-  echo_.RemoveGrants(flow);
+  // The new owner runs requests under the granted values. This agent may still
+  // be asked as their issuer, so it must not run them as well.
+  echo_.Revoke(now, flow);
 }
 
 void Agent::OnHandover(TimePoint now, const Endpoint& from,
@@ -49,14 +53,11 @@
   schema::HandoverAck ack;
   ack.batch = handover.batch;
   ack.sender = control_.self_id().value();
-  ack.taken = true;
-  if (!handover_.AlreadyImported(handover)) {
-    for (const schema::FlowState& state : handover.flows) {
-      ack.taken =
-          ack.taken && AcceptsHandover(now, ServiceId(state.service_id));
-    }
+  const std::optional<bool> decided = handover_.FindDecision(handover);
+  ack.taken = decided.value_or(AcceptsHandover(now, handover));
+  if (!decided) {
+    handover_.RecordDecision(now, handover, ack.taken);
     if (ack.taken) {
-      handover_.RecordImported(now, handover);
       for (const schema::FlowState& state : handover.flows) {
         ImportFlow(now, state, out);
       }
@@ -65,16 +66,24 @@
   out.Send(from, ack);
 }
 
-bool Agent::AcceptsHandover(TimePoint now, ServiceId service) const {
+bool Agent::AcceptsHandover(TimePoint now,
+                            const schema::Handover& handover) const {
+  const auto serves = [this](const schema::FlowState& state) {
+    return control_.services().Serves(control_.self_id(),
+                                      ServiceId(state.service_id));
+  };
   return runner_.Accepting(now) && !stopping_ &&
-         control_.services().Serves(control_.self_id(), service);
+         std::all_of(handover.flows.begin(), handover.flows.end(), serves);
 }
 
 void Agent::ImportFlow(TimePoint now, const schema::FlowState& state,
                        Outbox& out) {
   const Flow flow = FromKey(state.flow);
   for (const schema::EchoGrant& grant : state.grants) {
-    echo_.AddGrant(now, flow, MemberId(grant.issuer), grant.key);
+    const TimePoint expired_until{
+        Duration(grant.__isset.expired_until_us ? grant.expired_until_us : 0)};
+    echo_.AddGrant(now, flow,
+                   {MemberId(grant.issuer), grant.key, expired_until});
   }
   for (const schema::RememberedRequest& remembered : state.requests) {
     RememberedRequest request;
--- a/packages/agent/src/agent_requests.cc
+++ b/packages/agent/src/agent_requests.cc
@@ -155,6 +155,10 @@
       Challenge(now, pending, out);
       return;
     case EchoStatus::kExpired:
+      if (nonces_.Find(check.nonce) != nullptr) {
+        RunNonIdempotentRequest(now, std::move(pending), request, check, out);
+        return;
+      }
       Reply(now, pending, UnknownOutcomeResponse(UnknownReason::kOwnerGone),
             out);
       return;
--- a/packages/agent/src/handover.cc
+++ b/packages/agent/src/handover.cc
@@ -68,7 +68,7 @@
       continue;
     }
     ++handed_over_;
-    on_transferred_(flow, out);
+    on_transferred_(now, flow, out);
     flows_.FinishHandover(now, flow, batch.to, out);
   }
 }
@@ -87,9 +87,9 @@
     if (now >= batch.next_send) Send(now, batch, out);
     ++it;
   }
-  for (auto it = imported_batches_.begin(); it != imported_batches_.end();) {
-    it = now - it->second > kImportedRetention ? imported_batches_.erase(it)
-                                               : std::next(it);
+  for (auto it = decided_batches_.begin(); it != decided_batches_.end();) {
+    it = now - it->second.at > kDecisionRetention ? decided_batches_.erase(it)
+                                                  : std::next(it);
   }
 }
 
@@ -109,13 +109,17 @@
   if (member != nullptr) out.Send(member->endpoint(), batch.message);
 }
 
-bool Handover::AlreadyImported(const schema::Handover& handover) const {
-  return imported_batches_.count({MemberId(handover.sender), handover.batch}) !=
-         0;
+std::optional<bool> Handover::FindDecision(
+    const schema::Handover& handover) const {
+  const auto it =
+      decided_batches_.find({MemberId(handover.sender), handover.batch});
+  if (it == decided_batches_.end()) return std::nullopt;
+  return it->second.taken;
 }
 
-void Handover::RecordImported(TimePoint now, const schema::Handover& handover) {
-  imported_batches_[{MemberId(handover.sender), handover.batch}] = now;
+void Handover::RecordDecision(TimePoint now, const schema::Handover& handover,
+                              bool taken) {
+  decided_batches_[{MemberId(handover.sender), handover.batch}] = {taken, now};
 }
 
 }  // namespace sesamesaddle
--- a/packages/agent/tests/agent_test.cc
+++ b/packages/agent/tests/agent_test.cc
@@ -71,12 +71,18 @@
     record.change.__set_create_service(create);
     Outbox out;
     agent_.control().OnRecord(record, out);
+    AllowTargets(revision + 1, name, pattern);
+  }
+
+  void AllowTargets(int64_t revision, const std::string& service,
+                    const std::string& pattern) {
     schema::AllowTargets allow;
-    allow.service_name = name;
+    allow.service_name = service;
     allow.rule.pattern = pattern;
-    record = schema::ChangeRecord();
-    record.revision = revision + 1;
+    schema::ChangeRecord record;
+    record.revision = revision;
     record.change.__set_allow_targets(allow);
+    Outbox out;
     agent_.control().OnRecord(record, out);
     Tick(milliseconds(10));
   }
@@ -270,6 +276,112 @@
   CHECK(response.Find(coap::OptionNumber::kEcho) == nullptr);
 }
 
+/** Makes another agent of the service known, to which flows can be moved. */
+void AddPeerAgent(AgentFixture& fixture, const schema::MemberRecord& peer) {
+  schema::Gossip gossip;
+  gossip.kind = schema::GossipKind::kAck;
+  gossip.sender = peer;
+  schema::PeerMessage message;
+  message.__set_gossip(gossip);
+  fixture.Receive(message);
+  schema::LoadReport report;
+  report.sender = peer.id;
+  report.slots = peer.slots;
+  report.accepting = true;
+  message = schema::PeerMessage();
+  message.__set_load_report(report);
+  fixture.Receive(message);
+}
+
+/** Returns the only handover batch sent since `sent` was cleared. */
+schema::Handover TakeHandover(AgentFixture& fixture) {
+  std::vector<schema::Handover> batches;
+  for (const schema::PeerMessage& message : fixture.sent) {
+    if (message.__isset.handover) batches.push_back(message.handover);
+  }
+  fixture.sent.clear();
+  REQUIRE(batches.size() == 1);
+  return batches[0];
+}
+
+void AcknowledgeHandover(AgentFixture& fixture, const schema::Handover& batch,
+                         MemberId from, bool taken) {
+  schema::HandoverAck ack;
+  ack.batch = batch.batch;
+  ack.sender = from.value();
+  ack.taken = taken;
+  schema::PeerMessage message;
+  message.__set_handover_ack(ack);
+  fixture.Receive(message);
+}
+
+/** Delivers a datagram as the agent that placed its flow anew forwards it. */
+void DeliverToIssuer(AgentFixture& fixture, const coap::Message& request) {
+  schema::Envelope envelope = fixture.MakeEnvelope(coap::Encode(request));
+  envelope.purpose = schema::Purpose::kEchoIssuer;
+  envelope.hops = 1;
+  fixture.Receive(Wrap(envelope));
+}
+
+// The agent that took over the flow may have run the request and died; the
+// flow's next owner then asks the issuer, which must not run it once more.
+TEST_CASE(
+    "After a handover the issuer of an Echo value runs nothing under it") {
+  AgentFixture fixture;
+  const std::string answered = ObtainEcho(fixture, 1);
+  fixture.Deliver(RequestWithEcho(2, answered));
+  fixture.Respond(fixture.TakeCall().id, CompleteResponse(201, "done"));
+  fixture.TakeResponses();
+  const std::string unused = ObtainEcho(fixture, 3);
+  const auto peer = MakeRecord("a-1", schema::Role::kAgent, 101);
+  AddPeerAgent(fixture, peer);
+  fixture.sent.clear();
+  fixture.agent().BeginStop(fixture.now());
+  fixture.Tick(milliseconds(10));
+  const schema::Handover batch = TakeHandover(fixture);
+  AcknowledgeHandover(fixture, batch, MemberId(peer.id), true);
+  REQUIRE(fixture.agent().flows().owned().empty());
+  DeliverToIssuer(fixture, RequestWithEcho(4, unused));
+  CHECK(fixture.TakeCalls().empty());
+  CHECK(fixture.TakeResponse().code == coap::Code::kGatewayTimeout);
+  DeliverToIssuer(fixture, RequestWithEcho(5, answered));
+  CHECK(fixture.TakeCalls().empty());
+  CHECK(fixture.TakeResponse().payload == "done");
+}
+
+// The sender keeps the flows of a batch when one acknowledgement refuses it. A
+// later copy that was accepted would leave the flow with two owners.
+TEST_CASE("All copies of a handover get the answer of the first") {
+  AgentFixture fixture;
+  schema::Handover batch;
+  batch.batch = 1;
+  batch.sender = 9;
+  schema::FlowState state;
+  state.flow = ToKey(kFlow);
+  state.service_id = 1;
+  batch.flows.push_back(state);
+  const auto deliver = [&] {
+    schema::PeerMessage message;
+    message.__set_handover(batch);
+    fixture.sent.clear();
+    fixture.Receive(message);
+    for (const schema::PeerMessage& reply : fixture.sent) {
+      if (reply.__isset.handover_ack) return reply.handover_ack.taken;
+    }
+    FAIL("no acknowledgement");
+    return false;
+  };
+  batch.flows[0].service_id = 3;  // Not served here until the rule below.
+  CHECK_FALSE(deliver());
+  fixture.AllowTargets(5, "other", "a-*");
+  CHECK_FALSE(deliver());
+  CHECK(fixture.agent().flows().owned().empty());
+  batch.batch = 2;
+  CHECK(deliver());
+  CHECK(deliver());
+  CHECK(fixture.agent().flows().owned().size() == 1);
+}
+
 TEST_CASE("The response to a POST states whether it ran") {
   AgentFixture fixture;
   const auto outcome = [&](uint16_t id, TargetResponse response) {
--- a/packages/schema/gen/messages_types.cpp
+++ b/packages/schema/gen/messages_types.cpp
@@ -3375,6 +3375,11 @@
 void EchoGrant::__set_key(const std::string& val) {
   this->key = val;
 }
+
+void EchoGrant::__set_expired_until_us(const int64_t val) {
+  this->expired_until_us = val;
+__isset.expired_until_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const EchoGrant& obj)
 {
   obj.printTo(out);
@@ -3421,6 +3426,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expired_until_us);
+          this->__isset.expired_until_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3450,6 +3463,11 @@
   xfer += oprot->writeBinary(this->key);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.expired_until_us) {
+    xfer += oprot->writeFieldBegin("expired_until_us", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->expired_until_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3459,24 +3477,34 @@
   using ::std::swap;
   swap(a.issuer, b.issuer);
   swap(a.key, b.key);
+  swap(a.expired_until_us, b.expired_until_us);
+  swap(a.__isset, b.__isset);
 }
 
 EchoGrant::EchoGrant(const EchoGrant& other85) {
   issuer = other85.issuer;
   key = other85.key;
+  expired_until_us = other85.expired_until_us;
+  __isset = other85.__isset;
 }
 EchoGrant::EchoGrant(EchoGrant&& other86) noexcept {
   issuer = other86.issuer;
   key = std::move(other86.key);
+  expired_until_us = other86.expired_until_us;
+  __isset = other86.__isset;
 }
 EchoGrant& EchoGrant::operator=(const EchoGrant& other87) {
   issuer = other87.issuer;
   key = other87.key;
+  expired_until_us = other87.expired_until_us;
+  __isset = other87.__isset;
   return *this;
 }
 EchoGrant& EchoGrant::operator=(EchoGrant&& other88) noexcept {
   issuer = other88.issuer;
   key = std::move(other88.key);
+  expired_until_us = other88.expired_until_us;
+  __isset = other88.__isset;
   return *this;
 }
 void EchoGrant::printTo(std::ostream& out) const {
@@ -3484,6 +3512,7 @@
   out << "EchoGrant(";
   out << "issuer=" << to_string(issuer);
   out << ", " << "key=" << to_string(key);
+  out << ", " << "expired_until_us="; (__isset.expired_until_us ? (out << to_string(expired_until_us)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/schema/gen/messages_types.h
+++ b/packages/schema/gen/messages_types.h
@@ -1164,6 +1164,10 @@
 
 std::ostream& operator<<(std::ostream& out, const FeedState& obj);
 
+typedef struct _EchoGrant__isset {
+  _EchoGrant__isset() : expired_until_us(false) {}
+  bool expired_until_us :1;
+} _EchoGrant__isset;
 
 class EchoGrant : public virtual ::apache::thrift::TBase {
  public:
@@ -1174,23 +1178,33 @@
   EchoGrant& operator=(EchoGrant&&) noexcept;
   EchoGrant() noexcept
             : issuer(0),
-              key() {
+              key(),
+              expired_until_us(0) {
   }
 
   virtual ~EchoGrant() noexcept;
   MemberId issuer;
   std::string key;
+  int64_t expired_until_us;
+
+  _EchoGrant__isset __isset;
 
   void __set_issuer(const MemberId val);
 
   void __set_key(const std::string& val);
 
+  void __set_expired_until_us(const int64_t val);
+
   bool operator == (const EchoGrant & rhs) const
   {
     if (!(issuer == rhs.issuer))
       return false;
     if (!(key == rhs.key))
       return false;
+    if (__isset.expired_until_us != rhs.__isset.expired_until_us)
+      return false;
+    else if (__isset.expired_until_us && !(expired_until_us == rhs.expired_until_us))
+      return false;
     return true;
   }
   bool operator != (const EchoGrant &rhs) const {
--- a/packages/schema/messages.thrift
+++ b/packages/schema/messages.thrift
@@ -175,6 +175,9 @@
 struct EchoGrant {
   1: required MemberId issuer
   2: required binary key
+  // Values issued up to this time, in microseconds of the issuer's clock, are
+  // expired; unset if none is.
+  3: optional i64 expired_until_us
 }
 
 struct FlowState {
--- a/packages/serving/include/serving/echo_authority.h
+++ b/packages/serving/include/serving/echo_authority.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/endpoint.h"
 #include "core/random.h"
@@ -31,6 +32,17 @@
   EchoNonce nonce;
 };
 
+/** The right to run the requests of a flow under the values of one issuer. */
+struct EchoGrant {
+  MemberId issuer;
+  std::string key;
+  /**
+   * Values issued up to this time, by the issuer's clock, are expired: another
+   * agent may have run requests under them.
+   */
+  TimePoint expired_until{};
+};
+
 /**
  * Issues and checks Echo values (RFC 9175). A value holds its issuer, the time
  * of issue and a nonce, authenticated by a MAC with a key of the issuer. At
@@ -51,34 +63,36 @@
   EchoCheck Check(TimePoint now, const Flow& flow,
                   std::string_view value) const;
 
-  /** Returns the own key, to be granted to an owner that takes over a flow. */
-  const std::string& key() const { return key_; }
   /** Accepts values of an earlier owner of the flow from now on. */
-  void AddGrant(TimePoint now, const Flow& flow, MemberId issuer,
-                const std::string& key);
-  /** Returns the granted keys of a flow for a handover, without the own key. */
-  std::map<MemberId, std::string> Grants(const Flow& flow) const;
-  void RemoveGrants(const Flow& flow) { grants_.erase(flow); }
+  void AddGrant(TimePoint now, const Flow& flow, const EchoGrant& grant);
+  /**
+   * Returns the grants for an owner that takes over the flow: of the own key,
+   * and of those of earlier owners that are not revoked here.
+   */
+  std::vector<EchoGrant> Grants(const Flow& flow) const;
   /**
-   * Marks every value issued so far for the flow as expired, since another
-   * owner may have taken over the flow and run requests under them.
+   * Marks every value issued or granted so far for the flow as expired, since
+   * another owner has or may have taken over the flow and run requests under
+   * them.
    */
   void Revoke(TimePoint now, const Flow& flow);
   /** Removes grants and revocations older than kRequestRetention. */
   void Expire(TimePoint now);
 
  private:
-  struct Grant {
-    std::string key;
-    TimePoint granted_at;
+  struct HeldGrant {
+    EchoGrant grant;
+    TimePoint granted_at;  // By the own clock.
   };
 
-  const Grant* FindGrant(const Flow& flow, MemberId issuer) const;
+  const HeldGrant* FindGrant(const Flow& flow, MemberId issuer) const;
+  /** Returns when the flow was revoked last, or zero. */
+  TimePoint RevokedAt(const Flow& flow) const;
 
   MemberId self_;
   RandomSource& random_;
   std::string key_;
-  std::map<Flow, std::map<MemberId, Grant>> grants_;
+  std::map<Flow, std::map<MemberId, HeldGrant>> grants_;
   std::map<Flow, TimePoint> revoked_at_;
 };
 
--- a/packages/serving/src/echo_authority.cc
+++ b/packages/serving/src/echo_authority.cc
@@ -66,28 +66,25 @@
   const std::string_view body = value.substr(0, kBodyBytes);
   check.issuer = MemberId(ReadInt(body, 0));
   check.nonce = EchoNonce(ReadInt(body, 16));
-  const Grant* grant = FindGrant(flow, check.issuer);
-  if (check.issuer != self_ && grant == nullptr) {
+  const HeldGrant* held = FindGrant(flow, check.issuer);
+  if (check.issuer != self_ && held == nullptr) {
     check.status = EchoStatus::kOtherIssuer;
     return check;
   }
-  const std::string mac = Mac(grant == nullptr ? key_ : grant->key, flow, body);
+  const std::string mac =
+      Mac(held == nullptr ? key_ : held->grant.key, flow, body);
   if (CRYPTO_memcmp(mac.data(), value.data() + kBodyBytes, kMacBytes) != 0) {
     return check;
   }
+  const TimePoint issued_at(Duration(ReadInt(body, sizeof(int64_t))));
   // The clock of an earlier owner is not comparable with this one. Its values
   // are aged from the time it granted its key, since it issued none afterwards.
-  const Duration age =
-      grant == nullptr
-          ? now - TimePoint(Duration(ReadInt(body, sizeof(int64_t))))
-          : now - grant->granted_at;
-  check.status = ClassifyAge(age);
-  const auto revoked = revoked_at_.find(flow);
-  if (revoked == revoked_at_.end()) return check;
-  const TimePoint issued_by =
-      grant == nullptr ? TimePoint(Duration(ReadInt(body, sizeof(int64_t))))
-                       : grant->granted_at;
-  if (issued_by <= revoked->second) check.status = EchoStatus::kExpired;
+  const TimePoint valid_from = held == nullptr ? issued_at : held->granted_at;
+  const bool expired_by_issuer =
+      held != nullptr && issued_at <= held->grant.expired_until;
+  check.status = expired_by_issuer || valid_from <= RevokedAt(flow)
+                     ? EchoStatus::kExpired
+                     : ClassifyAge(now - valid_from);
   return check;
 }
 
@@ -95,6 +92,11 @@
   revoked_at_[flow] = now;
 }
 
+TimePoint EchoAuthority::RevokedAt(const Flow& flow) const {
+  const auto it = revoked_at_.find(flow);
+  return it == revoked_at_.end() ? TimePoint{} : it->second;
+}
+
 void EchoAuthority::Expire(TimePoint now) {
   for (auto it = revoked_at_.begin(); it != revoked_at_.end();) {
     it = now - it->second > kRequestRetention ? revoked_at_.erase(it)
@@ -110,21 +112,24 @@
   }
 }
 
-void EchoAuthority::AddGrant(TimePoint now, const Flow& flow, MemberId issuer,
-                             const std::string& key) {
-  if (issuer != self_) grants_[flow][issuer] = {key, now};
+void EchoAuthority::AddGrant(TimePoint now, const Flow& flow,
+                             const EchoGrant& grant) {
+  if (grant.issuer != self_) grants_[flow][grant.issuer] = {grant, now};
 }
 
-std::map<MemberId, std::string> EchoAuthority::Grants(const Flow& flow) const {
-  std::map<MemberId, std::string> keys;
+std::vector<EchoGrant> EchoAuthority::Grants(const Flow& flow) const {
+  const TimePoint revoked_at = RevokedAt(flow);
+  std::vector<EchoGrant> grants = {{self_, key_, revoked_at}};
   const auto it = grants_.find(flow);
-  if (it == grants_.end()) return keys;
-  for (const auto& [issuer, grant] : it->second) keys[issuer] = grant.key;
-  return keys;
+  if (it == grants_.end()) return grants;
+  for (const auto& [issuer, held] : it->second) {
+    if (held.granted_at > revoked_at) grants.push_back(held.grant);
+  }
+  return grants;
 }
 
-const EchoAuthority::Grant* EchoAuthority::FindGrant(const Flow& flow,
-                                                     MemberId issuer) const {
+const EchoAuthority::HeldGrant* EchoAuthority::FindGrant(
+    const Flow& flow, MemberId issuer) const {
   const auto it = grants_.find(flow);
   if (it == grants_.end()) return nullptr;
   const auto grant = it->second.find(issuer);
--- a/packages/serving/tests/serving_test.cc
+++ b/packages/serving/tests/serving_test.cc
@@ -65,9 +65,12 @@
   EchoAuthority first(MemberId(7), random);
   EchoAuthority second(MemberId(8), random);
   const std::string value = first.Issue(kStart, kFlow);
-  second.AddGrant(kStart, kFlow, MemberId(7), first.key());
+  for (const EchoGrant& grant : first.Grants(kFlow)) {
+    second.AddGrant(kStart, kFlow, grant);
+  }
   CHECK(second.Check(kStart, kFlow, value).status == EchoStatus::kFresh);
-  CHECK(second.Grants(kFlow).count(MemberId(7)) == 1);
+  REQUIRE(second.Grants(kFlow).size() == 2);
+  CHECK(second.Grants(kFlow).back().issuer == MemberId(7));
   first.Revoke(kStart, kFlow);
   CHECK(first.Check(kStart, kFlow, value).status == EchoStatus::kExpired);
   const std::string later = first.Issue(kStart + seconds(1), kFlow);
@@ -75,6 +78,31 @@
         EchoStatus::kFresh);
 }
 
+TEST_CASE("An owner that revoked a flow grants no value issued before") {
+  SeededRandom random(1);
+  EchoAuthority first(MemberId(7), random);
+  EchoAuthority second(MemberId(8), random);
+  EchoAuthority third(MemberId(9), random);
+  const auto hand_over = [](EchoAuthority& from, EchoAuthority& to) {
+    for (const EchoGrant& grant : from.Grants(kFlow)) {
+      to.AddGrant(kStart + seconds(2), kFlow, grant);
+    }
+  };
+  const std::string of_first = first.Issue(kStart, kFlow);
+  second.AddGrant(kStart, kFlow, first.Grants(kFlow).front());
+  const std::string of_second = second.Issue(kStart, kFlow);
+  // Another agent may have taken over the flow.
+  second.Revoke(kStart + seconds(1), kFlow);
+  const std::string later = second.Issue(kStart + seconds(2), kFlow);
+  hand_over(second, third);
+  const auto status = [&](const std::string& value) {
+    return third.Check(kStart + seconds(3), kFlow, value).status;
+  };
+  CHECK(status(of_first) == EchoStatus::kOtherIssuer);
+  CHECK(status(of_second) == EchoStatus::kExpired);
+  CHECK(status(later) == EchoStatus::kFresh);
+}
+
 TEST_CASE("A retransmitted message is run once until its retention ends") {
   MessageDeduplicator memory(100);
   const MessageKey key{kFlow, 5};
