Searches do not wait for targets that have ended

Hypothesis: most requests that the grown site of Pura Tinta loses from two seconds after a power loss on are not queued or refused. The clients' requests ran into their deadlines instead of being reset and tried again.

Change: an agent that the store does not list is ruled out if it reported its target's end, or if it does not answer while others do. An agent that is restarting is waited for, unless it never got to know its target.

--- a/packages/flow_location/include/flow_location/flow_locator.h
+++ b/packages/flow_location/include/flow_location/flow_locator.h
@@ -148,10 +148,13 @@
                                            const FlowSearch& search);
   /** Whether the agent has denied the flow, by itself or by a digest. */
   bool IsDenied(const FlowSearch& search, const Endpoint& agent) const;
-  bool AllRuledOut(const Flow& flow, FlowSearch& search);
+  /** Whether the agent has denied the flow or its target has ended. */
+  bool IsRuledOut(TimePoint now, const FlowSearch& search,
+                  const AgentView& view) const;
+  bool AllRuledOut(TimePoint now, const Flow& flow, FlowSearch& search);
   /** Like AllRuledOut, for some agents; begins at a position for the flow. */
-  bool AllDenied(const Flow& flow, FlowSearch& search,
-                 const std::vector<AgentView*>& agents) const;
+  bool RuledOut(TimePoint now, const Flow& flow, FlowSearch& search,
+                const std::vector<AgentView*>& agents) const;
   /**
    * Ends the search if all agents in scope are ruled out.
    * @return whether the search has ended
--- a/packages/flow_location/src/flow_locator.cc
+++ b/packages/flow_location/src/flow_locator.cc
@@ -109,8 +109,10 @@
   if (now >= search.next_round) return false;
   // Queries are sent in order of agents, so the last ones reply last.
   return std::any_of(search.queried.rbegin(), search.queried.rend(),
-                     [this, &search](const auto& query) {
-                       return !IsDenied(search, query.first) &&
+                     [this, now, &search](const auto& query) {
+                       const AgentView* view = directory_.Find(query.first);
+                       return view != nullptr &&
+                              !IsRuledOut(now, search, *view) &&
                               !search.IsUnsure(query.first);
                      });
 }
@@ -143,8 +145,8 @@
   const auto consider = [&](const Endpoint& agent) {
     AgentView* view = directory_.Find(agent);
     // The target of an unsure agent decides.
-    if (view == nullptr || IsDenied(search, agent) || search.IsUnsure(agent) ||
-        search.AwaitsReplyOf(now, agent)) {
+    if (view == nullptr || IsRuledOut(now, search, *view) ||
+        search.IsUnsure(agent) || search.AwaitsReplyOf(now, agent)) {
       return;
     }
     (search.scope.InServices(*view) ? next : others).push_back(view);
@@ -198,7 +200,7 @@
 bool FlowLocator::ConcludeIfNotFound(TimePoint now, const Flow& flow) {
   const auto it = searches_.find(flow);
   FlowSearch& search = it->second;
-  if (!AllRuledOut(flow, search)) return false;
+  if (!AllRuledOut(now, flow, search)) return false;
   if (directory_as_of_ < search.started) {
     output_.RefreshDirectory();
     return false;
@@ -235,39 +237,45 @@
          search.listed.count(agent) == 0;
 }
 
-bool FlowLocator::AllRuledOut(const Flow& flow, FlowSearch& search) {
+bool FlowLocator::IsRuledOut(TimePoint now, const FlowSearch& search,
+                             const AgentView& view) const {
+  return IsDenied(search, view.agent) || directory_.Ended(now, view);
+}
+
+bool FlowLocator::AllRuledOut(TimePoint now, const Flow& flow,
+                              FlowSearch& search) {
   if (search.undecided) {
     const AgentView* view = directory_.Find(*search.undecided);
     const bool in_scope = view != nullptr && (search.scope.any_service ||
                                               search.scope.InServices(*view));
-    if (in_scope && !IsDenied(search, view->agent)) return false;
+    if (in_scope && !IsRuledOut(now, search, *view)) return false;
   }
   search.undecided.reset();
   search.denied_by_digest = false;
   if (search.scope.any_service) {
-    return AllDenied(flow, search, directory_.All());
+    return RuledOut(now, flow, search, directory_.All());
   }
   return std::all_of(search.scope.services.begin(), search.scope.services.end(),
                      [&](const std::string& service) {
-                       return AllDenied(flow, search,
-                                        directory_.OfService(service));
+                       return RuledOut(now, flow, search,
+                                       directory_.OfService(service));
                      });
 }
 
-bool FlowLocator::AllDenied(const Flow& flow, FlowSearch& search,
-                            const std::vector<AgentView*>& agents) const {
+bool FlowLocator::RuledOut(TimePoint now, const Flow& flow, FlowSearch& search,
+                           const std::vector<AgentView*>& agents) const {
   // Agents are queried in their order, in turn. In reverse order the agent that
   // is found after the first check is the one that is queried last, so that few
   // checks have to look at all agents.
   const size_t size = agents.size();
   const size_t begin = agents.empty() ? 0 : HashFlow(flow) % size;
   for (size_t i = 0; i < size; ++i) {
-    const Endpoint& agent = agents[(begin + size - i) % size]->agent;
-    if (!IsDenied(search, agent)) {
-      search.undecided = agent;
+    const AgentView& view = *agents[(begin + size - i) % size];
+    if (!IsRuledOut(now, search, view)) {
+      search.undecided = view.agent;
       return false;
     }
-    if (search.ruled_out.count(agent) == 0) search.denied_by_digest = true;
+    if (search.ruled_out.count(view.agent) == 0) search.denied_by_digest = true;
   }
   return true;
 }
@@ -285,7 +293,7 @@
       search.by_digest = true;
       StartRound(now, it->first, search,
                  SelectNextAgents(now, it->first, search));
-      if (AllRuledOut(it->first, search)) output_.RefreshDirectory();
+      if (AllRuledOut(now, it->first, search)) output_.RefreshDirectory();
     }
     ++it;
   }
--- a/packages/placement/include/placement/target_directory.h
+++ b/packages/placement/include/placement/target_directory.h
@@ -52,6 +52,8 @@
   TimePoint last_report{};
   bool reported = false;
   bool restarting = false;
+  /** The target has not announced itself since its agent started. */
+  bool target_unknown = false;
   /** The target fails requests, as detected by its agent. */
   bool failing = false;
   /** A failing target may get one flow as a trial after this time. */
@@ -160,6 +162,17 @@
    * flows that it holds.
    */
   bool Unreachable(TimePoint now, const AgentView& view) const;
+  /**
+   * Whether the agent is restarting. Its target runs on, unless the agent never
+   * got to know it: the instance may be about to be removed.
+   */
+  static bool Restarting(TimePoint now, const AgentView& view);
+  /**
+   * Whether the target holds no flows any more: the store does not list it, and
+   * its agent has reported its end or does not answer either. An agent whose
+   * lease was lost while it runs answers.
+   */
+  bool Ended(TimePoint now, const AgentView& view) const;
   /** Whether new flows may be placed on the target. */
   bool Usable(TimePoint now, const AgentView& view) const;
 
--- a/packages/placement/src/target_directory.cc
+++ b/packages/placement/src/target_directory.cc
@@ -146,6 +146,7 @@
   }
   view->unanswered_probes = 0;
   view->restarting = report.restarting;
+  view->target_unknown = report.state == schema::TargetState::kUnknown;
   view->slow_start_room = report.__isset.slow_start_room
                               ? std::make_optional<int>(report.slow_start_room)
                               : std::nullopt;
@@ -195,12 +196,21 @@
          kMinUnansweredProbes;
 }
 
+bool TargetDirectory::Restarting(TimePoint now, const AgentView& view) {
+  return view.restarting && now - view.last_report < kRestartTimeout;
+}
+
+bool TargetDirectory::Ended(TimePoint now, const AgentView& view) const {
+  if (view.listed) return false;
+  if (view.record.state == schema::TargetState::kGone) return true;
+  const bool runs_on = Restarting(now, view) && !view.target_unknown;
+  return Unreachable(now, view) && !runs_on;
+}
+
 bool TargetDirectory::Usable(TimePoint now, const AgentView& view) const {
   if (view.record.state != schema::TargetState::kReady) return false;
   if (InEvacuatedZone(view)) return false;
-  const bool restarting =
-      view.restarting && now - view.last_report < kRestartTimeout;
-  if (restarting || now < view.backoff_until) return false;
+  if (Restarting(now, view) || now < view.backoff_until) return false;
   if (Silent(now, view)) return false;
   return view.listed ||
          (view.reported && now - view.last_report < kUnlistedGracePeriod);
--- a/packages/placement/tests/target_directory_test.cc
+++ b/packages/placement/tests/target_directory_test.cc
@@ -188,6 +188,49 @@
   CHECK(found);
 }
 
+TEST_CASE("A target has ended if it is unlisted and gone or unreachable") {
+  ZoneEvacuations zones;
+  TargetDirectory directory(zones);
+  directory.Put(kNow, "a", MakeRecord(1), StoreRevision(1));
+  directory.Put(kNow, "b", MakeRecord(2), StoreRevision(2));
+  AgentView& view = *directory.Find(Endpoint(1, 8172));
+  const auto report = [&](TimePoint now, schema::TargetState::type state,
+                          bool restarting) {
+    auto message = MakeReport(1);
+    message.state = state;
+    message.restarting = restarting;
+    directory.OnReport(now, message);
+  };
+  // Leaves requests unanswered until the agent is unreachable.
+  const auto fall_silent = [&](TimePoint now) {
+    const TimePoint end = now + 2 * TargetDirectory::kSilenceTimeout;
+    for (; now <= end; now += milliseconds(10)) {
+      TargetDirectory::RecordReportRequest(now, view);
+      directory.OnReport(now, MakeReport(2));
+    }
+    REQUIRE(directory.Unreachable(end, view));
+    return end;
+  };
+  TimePoint now = fall_silent(kNow);
+  CHECK_FALSE(directory.Ended(now, view));  // Listed: a partition may end.
+  directory.Remove(now, "a", StoreRevision(3));
+  CHECK(directory.Ended(now, view));
+  report(now, schema::TargetState::kReady, false);
+  CHECK_FALSE(directory.Ended(now, view));  // Only its lease was lost.
+  report(now, schema::TargetState::kReady, true);
+  now = fall_silent(now);
+  CHECK_FALSE(directory.Ended(now, view));  // The target runs on.
+  report(now, schema::TargetState::kUnknown, true);
+  now = fall_silent(now);
+  CHECK(directory.Ended(now, view));
+  report(now, schema::TargetState::kGone, false);
+  CHECK(directory.Ended(now, view));
+  // A late report of the former target does not concern the next one.
+  directory.Put(now, "a", MakeRecord(1, "z", "next"), StoreRevision(4));
+  report(now, schema::TargetState::kGone, false);
+  CHECK_FALSE(directory.Ended(now, view));
+}
+
 TEST_CASE("A restarting agent is usable after its new entry or a timeout") {
   ZoneEvacuations zones;
   TargetDirectory directory(zones);
