Replace a flow record that misses flows after 3 s instead of 10 s

Hypothesis: in the ten seconds after a loss of power requests that may run once are lost in dead flows that no record names.

Change: kMaxLag from 10 to 3 s.

--- a/packages/flow_location/include/flow_location/flow_record_policy.h
+++ b/packages/flow_location/include/flow_location/flow_record_policy.h
@@ -26,7 +26,7 @@
   /** Minimum time between two records. */
   static constexpr Duration kMinInterval = std::chrono::seconds(1);
   /** A record that misses any such flow is replaced after this time. */
-  static constexpr Duration kMaxLag = std::chrono::seconds(10);
+  static constexpr Duration kMaxLag = std::chrono::seconds(3);
   /** A record that misses more than this share of them is replaced. */
   static constexpr double kMaxMissingShare = 0.25;
   /**
