The last answers of a target that deregisters reach their clients

Change: flows that wait for an answer are reset 10 ms after the deregistration (at the next report), the others at once.

--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -132,6 +132,12 @@
   static constexpr Duration kQueueCheckPeriod = std::chrono::milliseconds(10);
   /** Time for which an ended flow is kept to handle late packets. */
   static constexpr Duration kEndedFlowRetention = std::chrono::seconds(4);
+  /**
+   * Time for the last answers of a target that deregisters: they come through
+   * another socket than its deregistration. Ten times the longest time that a
+   * packet takes from the target to its agent.
+   */
+  static constexpr Duration kLastAnswerTime = std::chrono::milliseconds(10);
   /** Maximum number of flows in each list of a report. */
   static constexpr size_t kMaxFlowsPerReport = 40;
   /** Maximum number of flows in a digest. */
@@ -361,7 +367,13 @@
                     bool offered, char* packet, size_t size);
   void ResetFlow(const Flow& flow, const FlowEntry& entry,
                  std::string_view reason);
-  void ResetAllFlows(TimePoint now, std::string_view reason);
+  /**
+   * Resets the flows of the target, which has ended. Those that wait for an
+   * answer are reset kLastAnswerTime later, as it may be on its way.
+   */
+  void ResetFlowsOfEndedTarget(TimePoint now);
+  void ResetUnansweredFlows(TimePoint now);
+  void EndFlow(TimePoint now, const Flow& flow, FlowEntry& entry);
   /** Resets the flows that the target before the current one held. */
   void ResetFormerFlows();
   /** Resets the recalled flows if their target has ended. */
@@ -444,6 +456,8 @@
   /** The record of an earlier incarnation, until its target is identified. */
   std::optional<schema::FlowRecord> recalled_;
   TimePoint recalled_at_{};
+  /** When the flows that still wait for an answer of the target are reset. */
+  std::optional<TimePoint> reset_unanswered_at_;
   /**
    * The target's first announcement came to this process, so it has seen all
    * flows of the target.
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -367,7 +367,7 @@
 
 bool FlowAgent::OnDeregister(TimePoint now, const std::string& id) {
   if (!target_monitor_.OnDeregister(id)) return false;
-  ResetAllFlows(now, "target-ended");
+  ResetFlowsOfEndedTarget(now);
   ReportToAll();
   return true;
 }
--- a/packages/steering/src/flow_agent_records.cc
+++ b/packages/steering/src/flow_agent_records.cc
@@ -107,21 +107,38 @@
   }
 }
 
-void FlowAgent::ResetAllFlows(TimePoint now, std::string_view reason) {
+void FlowAgent::EndFlow(TimePoint now, const Flow& flow, FlowEntry& entry) {
+  if (entry.state == FlowState::kOpen) {
+    ResetFlow(flow, entry, "target-ended");
+    // A balancer that was idle for a while gets no other reports.
+    if (entry.balancer != Endpoint()) RecordUrgentContact(now, entry.balancer);
+  }
+  ReleaseWork(entry);
+  // Kept for packets from clients that are still on their way.
+  entry.state = FlowState::kEnded;
+}
+
+void FlowAgent::ResetFlowsOfEndedTarget(TimePoint now) {
   for (auto& [flow, entry] : flows_) {
-    if (entry.state == FlowState::kOpen) {
-      ResetFlow(flow, entry, reason);
-      // A balancer that was idle for a while gets no other reports.
+    if (entry.state == FlowState::kOpen && entry.request_in_flight) {
+      reset_unanswered_at_ = now + kLastAnswerTime;
       if (entry.balancer != Endpoint()) {
         RecordUrgentContact(now, entry.balancer);
       }
+    } else {
+      EndFlow(now, flow, entry);
     }
-    ReleaseWork(entry);
-    // Kept for packets from clients that are still on their way.
-    entry.state = FlowState::kEnded;
   }
 }
 
+void FlowAgent::ResetUnansweredFlows(TimePoint now) {
+  if (!reset_unanswered_at_ || now < *reset_unanswered_at_) return;
+  reset_unanswered_at_.reset();
+  // A new target may have announced itself meanwhile; see ResetFormerFlows.
+  if (!target_monitor_.gone()) return;
+  for (auto& [flow, entry] : flows_) EndFlow(now, flow, entry);
+}
+
 void FlowAgent::ResetFormerFlows() {
   const TimePoint held_before =
       target_monitor_.last_announcement_of_former() - kMaxAnnouncementDelay;
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -115,6 +115,7 @@
 void FlowAgent::OnTick(TimePoint now) {
   urgent_ = false;
   UpdateLimited(now);
+  ResetUnansweredFlows(now);
   ExpireExpectedRequests(now);
   ExpireQueue(now);
   DispatchQueue(now);
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -436,6 +436,42 @@
   CHECK(RunRounds(world, 1, milliseconds(500)) == 10);
 }
 
+// Failure: a target answered its last request and deregistered at once. The
+// deregistration came first, and the client got a reset instead of the answer
+// to a request that had run.
+TEST_CASE("The last answer of a target that deregisters reaches its client") {
+  SteeringWorld world(1, 1, 16);
+  VirtualFlowClient& client = world.AddClient(true);
+  client.repeatable = false;
+  REQUIRE(RunRounds(world, 1, milliseconds(250)) == 1);
+  VirtualTarget& target = *world.targets[0];
+  client.Request("last");
+  while (target.started_requests.count("last") == 0) {
+    world.RunFor(std::chrono::microseconds(100));
+  }
+  world.RunFor(target.work - milliseconds(2));
+  REQUIRE(target.completed_requests.count("last") == 0);
+  const TimePoint now = world.scheduler.Now();
+  REQUIRE(world.agent(0)->OnDeregister(now, "t0"));
+  world.RunFor(milliseconds(100));
+  CHECK(client.results["last"].answered);
+  CHECK(client.results["last"].resets == 0);
+}
+
+TEST_CASE("A flow is reset if its target ends without the last answer") {
+  SteeringWorld world(1, 1, 16);
+  VirtualFlowClient& client = world.AddClient(true);
+  client.repeatable = false;
+  REQUIRE(RunRounds(world, 1, milliseconds(250)) == 1);
+  client.Request("last");
+  world.RunFor(milliseconds(8));
+  REQUIRE(world.targets[0]->started_requests.count("last") == 1);
+  world.targets[0]->Crash();
+  REQUIRE(world.agent(0)->OnDeregister(world.scheduler.Now(), "t0"));
+  world.RunFor(milliseconds(100));
+  CHECK(client.results["last"].resets == 1);
+}
+
 TEST_CASE("Flows that an agent has reset get no second reset at its removal") {
   // A client may have opened a flow from the same port meanwhile.
   SteeringWorld world(2, 2, 15);
