The end of a target does not count as a denial by digest

Found on reading the change again: a search that ruled out an ended target counted its flow as resolved by digest (flows_resolved_by_digest_total). The test has no digests and fails without the condition. The two cases of an Echo value that is too old share their look-up of a remembered request; RuledOut is named AreRuledOut.

--- a/packages/agent/src/agent_requests.cc
+++ b/packages/agent/src/agent_requests.cc
@@ -146,21 +146,17 @@
       RunNonIdempotentRequest(now, std::move(pending), request, check, out);
       return;
     case EchoStatus::kStale:
-      if (nonces_.Find(check.nonce) != nullptr) {
-        RunNonIdempotentRequest(now, std::move(pending), request, check, out);
-        return;
-      }
-      // Nonces are stored for longer than Echo values are valid, so the request
-      // has not run.
-      Challenge(now, pending, out);
-      return;
     case EchoStatus::kExpired:
       if (nonces_.Find(check.nonce) != nullptr) {
         RunNonIdempotentRequest(now, std::move(pending), request, check, out);
-        return;
+      } else if (check.status == EchoStatus::kStale) {
+        // Nonces are stored for longer than Echo values are valid, so the
+        // request has not run.
+        Challenge(now, pending, out);
+      } else {
+        Reply(now, pending, UnknownOutcomeResponse(UnknownReason::kOwnerGone),
+              out);
       }
-      Reply(now, pending, UnknownOutcomeResponse(UnknownReason::kOwnerGone),
-            out);
       return;
     case EchoStatus::kOtherIssuer:
       ForwardToIssuer(now, envelope, check.issuer, pending, out);
--- a/packages/agent/tests/agent_test.cc
+++ b/packages/agent/tests/agent_test.cc
@@ -305,11 +305,11 @@
 }
 
 void AcknowledgeHandover(AgentFixture& fixture, const schema::Handover& batch,
-                         MemberId from, bool taken) {
+                         MemberId from) {
   schema::HandoverAck ack;
   ack.batch = batch.batch;
   ack.sender = from.value();
-  ack.taken = taken;
+  ack.taken = true;
   schema::PeerMessage message;
   message.__set_handover_ack(ack);
   fixture.Receive(message);
@@ -339,7 +339,7 @@
   fixture.agent().BeginStop(fixture.now());
   fixture.Tick(milliseconds(10));
   const schema::Handover batch = TakeHandover(fixture);
-  AcknowledgeHandover(fixture, batch, MemberId(peer.id), true);
+  AcknowledgeHandover(fixture, batch, MemberId(peer.id));
   REQUIRE(fixture.agent().flows().owned().empty());
   DeliverToIssuer(fixture, RequestWithEcho(4, unused));
   CHECK(fixture.TakeCalls().empty());
--- a/packages/flow_location/include/flow_location/flow_locator.h
+++ b/packages/flow_location/include/flow_location/flow_locator.h
@@ -153,8 +153,8 @@
                   const AgentView& view) const;
   bool AllRuledOut(TimePoint now, const Flow& flow, FlowSearch& search);
   /** Like AllRuledOut, for some agents; begins at a position for the flow. */
-  bool RuledOut(TimePoint now, const Flow& flow, FlowSearch& search,
-                const std::vector<AgentView*>& agents) const;
+  bool AreRuledOut(TimePoint now, const Flow& flow, FlowSearch& search,
+                   const std::vector<AgentView*>& agents) const;
   /**
    * Ends the search if all agents in scope are ruled out.
    * @return whether the search has ended
--- a/packages/flow_location/src/flow_locator.cc
+++ b/packages/flow_location/src/flow_locator.cc
@@ -253,17 +253,18 @@
   search.undecided.reset();
   search.denied_by_digest = false;
   if (search.scope.any_service) {
-    return RuledOut(now, flow, search, directory_.All());
+    return AreRuledOut(now, flow, search, directory_.All());
   }
   return std::all_of(search.scope.services.begin(), search.scope.services.end(),
                      [&](const std::string& service) {
-                       return RuledOut(now, flow, search,
-                                       directory_.OfService(service));
+                       return AreRuledOut(now, flow, search,
+                                          directory_.OfService(service));
                      });
 }
 
-bool FlowLocator::RuledOut(TimePoint now, const Flow& flow, FlowSearch& search,
-                           const std::vector<AgentView*>& agents) const {
+bool FlowLocator::AreRuledOut(TimePoint now, const Flow& flow,
+                              FlowSearch& search,
+                              const std::vector<AgentView*>& agents) const {
   // Agents are queried in their order, in turn. In reverse order the agent that
   // is found after the first check is the one that is queried last, so that few
   // checks have to look at all agents.
@@ -275,7 +276,10 @@
       search.undecided = view.agent;
       return false;
     }
-    if (search.ruled_out.count(view.agent) == 0) search.denied_by_digest = true;
+    if (search.ruled_out.count(view.agent) == 0 &&
+        IsDenied(search, view.agent)) {
+      search.denied_by_digest = true;
+    }
   }
   return true;
 }
--- a/packages/flow_location/tests/ended_target_test.cc
+++ b/packages/flow_location/tests/ended_target_test.cc
@@ -78,12 +78,15 @@
     "A search does not wait for the agent of a target that deregistered") {
   EndedTargetFixture fixture;
   SteeringWorld& world = fixture.world;
+  world.agents_without_digests = {0, 1, 2};
   world.agent(kLeaving)->OnDeregister(world.scheduler.Now(), "t2");
   world.RunFor(milliseconds(100));
   world.RemoveEntry(kLeaving);
   fixture.KillLeaving();
   fixture.RestartStayingTargets();
   CHECK(fixture.AnsweredSoon() == kClients);
+  // The end of a target does not count as a denial by digest.
+  CHECK(world.balancer(0)->flows_resolved_by_digest() == 0);
 }
 
 TEST_CASE("A search does not wait for an unlisted agent that does not answer") {
