No process resets a flow that its target holds open

Causes, each mended:

- A SYN that an agent returned, or that waited for room, was placed anew and refused for overload although the client had opened the flow at another target meanwhile.
A packet after the SYN now ends the wait, and a returned SYN of an open flow is dropped.
- An entry whose latest try came back kept the address of that try, so the next packet went to an agent that does not hold the flow.
- An agent that restarted beside its target denied an open flow after a late copy of its SYN, or reset a flow that was open at another target.
- The search for a former flow from a port could reset the next one from it.
- A flow of an unreachable agent was reset at its next packet.
Now only a retransmission, for which its target sent no acknowledgement, is evidence.

AdmissionOptions replaces the field for the order of the queues; no behaviour changes by that.

--- a/packages/flow_location/include/flow_location/flow_locator.h
+++ b/packages/flow_location/include/flow_location/flow_locator.h
@@ -82,6 +82,8 @@
   static constexpr size_t kAgentsPerRound = DigestRounds::kAgentsPerRound;
   /** Maximum number of packets buffered per flow; later ones are dropped. */
   static constexpr size_t kMaxBufferedPackets = 16;
+  /** Maximum number of bytes that a client sends on one flow. */
+  static constexpr uint32_t kMaxClientBytes = 1U << 24;
   /** An unfinished search is dropped after this; the client retransmits. */
   static constexpr Duration kSearchTimeout = std::chrono::seconds(2);
 
@@ -125,6 +127,15 @@
   void OnTick(TimePoint now);
 
   bool idle() const { return searches_.empty(); }
+  /** Whether a search for the flow is in progress. */
+  bool Searches(const Flow& flow) const { return searches_.count(flow) != 0; }
+  /**
+   * Whether a search is in progress for the flow that a SYN with that sequence
+   * number opened, not for an earlier one from the same port.
+   */
+  bool SearchesFlowOf(const Flow& flow, uint32_t syn_sequence) const;
+  /** Ends the search for the flow without a result, if there is one. */
+  void Cancel(const Flow& flow);
   const DigestRoundCounters& digest_counters() const {
     return digest_rounds_.counters();
   }
--- a/packages/flow_location/include/flow_location/flow_search.h
+++ b/packages/flow_location/include/flow_location/flow_search.h
@@ -49,6 +49,8 @@
   /** Unsure agents that were offered the packets, and when. */
   std::map<Endpoint, TimePoint> offered;
   uint32_t acknowledged = 0;
+  /** Sequence number of the client's packet that started the search. */
+  uint32_t client_sequence = 0;
   TimePoint started{};
   TimePoint next_round{};
   /** Digests of earlier rounds were asked for before the search began. */
--- a/packages/flow_location/src/flow_locator.cc
+++ b/packages/flow_location/src/flow_locator.cc
@@ -25,6 +25,7 @@
   for (const Endpoint& agent : ruled_out) search.ruled_out.insert(agent);
   if (added) {
     search.started = now;
+    search.client_sequence = header.sequence;
     search.scope = scope;
     search.first_digest_round = digest_rounds_.next_round();
     flows_by_hash_.emplace(DigestHash(flow), flow);
@@ -197,6 +198,18 @@
   return searches_.erase(it);
 }
 
+bool FlowLocator::SearchesFlowOf(const Flow& flow,
+                                 uint32_t syn_sequence) const {
+  const auto it = searches_.find(flow);
+  return it != searches_.end() &&
+         it->second.client_sequence - syn_sequence < kMaxClientBytes;
+}
+
+void FlowLocator::Cancel(const Flow& flow) {
+  const auto it = searches_.find(flow);
+  if (it != searches_.end()) Erase(it);
+}
+
 bool FlowLocator::ConcludeIfNotFound(TimePoint now, const Flow& flow) {
   const auto it = searches_.find(flow);
   FlowSearch& search = it->second;
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/admission_options.h"
 #include "admission/handshake_time_estimator.h"
 #include "admission/slow_start_limiter.h"
 #include "admission/syn_queue.h"
@@ -49,7 +50,7 @@
   Duration flow_lifetime = std::chrono::seconds(60);
   /** Availability zone of the agent and its target. */
   std::string zone = {};
-  QueueOrder queue_order = QueueOrder::kPriority;
+  AdmissionOptions admission;
 };
 
 /** Counts since the start of the process. */
@@ -356,6 +357,12 @@
   void UpdateLimited(TimePoint now);
   void OnData(TimePoint now, const Endpoint& balancer,
               const PacketHeader& header, char* packet, size_t size);
+  /**
+   * Delivers a packet of a flow that this process does not know. The target
+   * answers it, or returns it if it does not hold the flow.
+   */
+  void LetTargetDecide(TimePoint now, const PacketHeader& header,
+                       const Endpoint& balancer, char* packet, size_t size);
   void DeliverToTarget(TimePoint now, const PacketHeader& header,
                        FlowEntry* entry, const Endpoint& balancer, char* packet,
                        size_t size);
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "admission/admission_control.h"
-#include "admission/urgency.h"
+#include "admission/admission_options.h"
 #include "core/endpoint.h"
 #include "core/event_log.h"
 #include "core/time.h"
@@ -93,7 +93,7 @@
   /** Maximum lifetime of a flow; older ones may be dropped by any process. */
   Duration flow_lifetime = std::chrono::seconds(60);
   SplitMode split = SplitMode::kStrict;
-  QueueOrder queue_order = QueueOrder::kPriority;
+  AdmissionOptions admission;
 };
 
 /**
@@ -204,6 +204,8 @@
     Endpoint agent;
     /** The agent has confirmed that its target took the flow. */
     bool accepted = false;
+    /** The client has sent a packet after its SYN. */
+    bool opened = false;
     /** The client has closed or reset it. */
     bool ended = false;
     bool runs_once = false;
@@ -340,6 +342,13 @@
                    const std::vector<Endpoint>& likely_holders,
                    const std::vector<Endpoint>& ruled_out);
   void OnHolderFound(TimePoint now, const Flow& flow, AgentView& agent);
+  /** Records that the agent's target did not take the flow's SYN. */
+  void ForgetTry(const Flow& flow, const Endpoint& agent);
+  /**
+   * Whether the client is known to have opened the flow at a target; a copy of
+   * its SYN that comes back from another one is not placed or refused then.
+   */
+  bool IsOpen(const Flow& flow) const;
   void Reset(const Flow& flow, uint32_t acknowledged, std::string_view reason);
   void QueryAgent(TimePoint now, AgentView& agent, const Flow& flow) override;
   void QueryDigest(TimePoint now, AgentView& agent, const Flow& flow,
@@ -361,7 +370,7 @@
   EventLog& log_;
   FlowLocator locator_;
   SplitMode split_;
-  QueueOrder queue_order_;
+  AdmissionOptions admission_;
   RouteTable routes_;
   RouteHistory history_;
   bool store_current_ = false;
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -39,7 +39,7 @@
       output_(output),
       log_(log),
       response_times_(response_times),
-      queue_(options_.queue_order),
+      queue_(options_.admission.order),
       assumed_cold_since_(now),
       started_(now) {}
 
@@ -158,9 +158,8 @@
       ReplyNotHeld(now, balancer, flow, offered, packet, size);
       return;
     }
-    // This process started after its target, so only the target can decide.
-    if (offered) offers_[flow] = {balancer, now};
-    DeliverToTarget(now, header, nullptr, balancer, packet, size);
+    // This process started after its target.
+    LetTargetDecide(now, header, balancer, packet, size);
     return;
   }
   FlowEntry& entry = it->second;
@@ -168,8 +167,13 @@
   if (entry.state == FlowState::kOpening) {
     const uint32_t ahead = header.acknowledged - entry.target_sequence;
     if (!entry.sequence_known || ahead > 1) {
-      // The client opened the flow at another target.
-      ReplyNotHeld(now, balancer, flow, offered, packet, size);
+      // The client opened the flow at another target, unless it did so here
+      // before this process started, which then saw a late copy of the SYN.
+      if (TracksAllFlows(now)) {
+        ReplyNotHeld(now, balancer, flow, offered, packet, size);
+      } else {
+        LetTargetDecide(now, header, balancer, packet, size);
+      }
       return;
     }
     handshake_time_.AddSample(now - entry.opened);
@@ -189,6 +193,15 @@
   DeliverToTarget(now, header, &entry, balancer, packet, size);
 }
 
+void FlowAgent::LetTargetDecide(TimePoint now, const PacketHeader& header,
+                                const Endpoint& balancer, char* packet,
+                                size_t size) {
+  if (header.tag.kind == HopKind::kOffer) {
+    offers_[ClientFlow(header)] = {balancer, now};
+  }
+  DeliverToTarget(now, header, nullptr, balancer, packet, size);
+}
+
 void FlowAgent::DeliverToTarget(TimePoint now, const PacketHeader& header,
                                 FlowEntry* entry, const Endpoint& balancer,
                                 char* packet, size_t size) {
@@ -242,6 +255,10 @@
     entry.opened = now;
     entry.state = syn_ack ? FlowState::kOpening : FlowState::kOpen;
     AnswerOffer(now, flow);
+  } else if (entry.state == FlowState::kOpening && header->payload_bytes > 0) {
+    // The target answers on a flow that was opened before this process started.
+    entry.state = FlowState::kOpen;
+    AnswerOffer(now, flow);
   }
   entry.last_packet = now;
   if (syn_ack && entry.state == FlowState::kOpening) {
@@ -284,7 +301,7 @@
     }
     return;
   }
-  if (it == flows_.end()) {
+  if (it == flows_.end() || it->second.state == FlowState::kOpening) {
     offers_.erase(flow);
     if (balancer != Endpoint()) {
       ReplyNotHeld(now, balancer, flow, offered, packet, size);
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -34,7 +34,7 @@
       log_(log),
       locator_(std::move(options.topology), directory, *this),
       split_(options.split),
-      queue_order_(options.queue_order),
+      admission_(options.admission),
       history_(options.flow_lifetime) {}
 
 void FlowBalancer::OnClientPacket(TimePoint now, char* packet, size_t size) {
@@ -62,6 +62,10 @@
 void FlowBalancer::OnSyn(TimePoint now, const Flow& flow,
                          const PacketHeader& header, std::string_view packet) {
   ++counters_.syns;
+  if (locator_.SearchesFlowOf(flow, header.sequence)) return;
+  // The client uses its port again, and the end of the search must not reset
+  // the new flow.
+  locator_.Cancel(flow);
   const auto known = flows_.find(flow);
   if (known != flows_.end() && known->second.syn_sequence == header.sequence) {
     AgentView* agent = directory_.Find(known->second.agent);
@@ -71,6 +75,7 @@
       ForwardSyn(now, *agent, std::string(packet), 0, {});
       return;
     }
+    if (known->second.opened) return;
   } else if (known != flows_.end()) {
     flows_.erase(known);
   }
@@ -78,7 +83,7 @@
   if (pending.packet.empty()) {
     pending.arrived = now;
     // Without deadlines a wait counts from the arrival at this process.
-    pending.sent = queue_order_ == QueueOrder::kDeadline
+    pending.sent = admission_.order == QueueOrder::kDeadline
                        ? now - SynPatience::MinWait(header.acknowledged)
                        : now;
   }
@@ -188,6 +193,9 @@
 void FlowBalancer::OnData(TimePoint now, const Flow& flow,
                           const PacketHeader& header, char* packet,
                           size_t size) {
+  // The client has received a SYN-ACK, so the flow must not be refused any
+  // more.
+  pending_syns_.erase(flow);
   const auto it = flows_.find(flow);
   if (it == flows_.end()) {
     if (header.reset) return;  // The client has ended the flow.
@@ -195,10 +203,10 @@
     return;
   }
   FlowEntry& entry = it->second;
+  entry.opened = true;
   entry.acknowledged = header.acknowledged;
   entry.last_packet = now;
   entry.ended = entry.ended || header.fin || header.reset;
-  pending_syns_.erase(flow);  // The client has received a SYN-ACK.
   if (entry.tried.size() > 1) {
     const std::vector<Endpoint> tried = std::move(entry.tried);
     flows_.erase(it);
@@ -211,14 +219,14 @@
     StartSearch(now, flow, header, std::string_view(packet, size), {}, {});
     return;
   }
-  if (directory_.Unreachable(now, *agent) && !agent->restarting &&
-      !entry.runs_once && !header.reset) {
+  DetectRetransmission(now, header, entry, *agent);
+  if (entry.retransmitting && directory_.Unreachable(now, *agent) &&
+      !agent->restarting && !entry.runs_once && !header.reset) {
     // Resets the flow early, so that the client has time to retry elsewhere.
     ResetForSilentTarget(flow, entry);
     flows_.erase(it);
     return;
   }
-  DetectRetransmission(now, header, entry, *agent);
   Forward(now, *agent, packet, size);
 }
 
@@ -293,6 +301,7 @@
   const Route* route = routes_.Find(flow.service);
   entry.agent = agent.agent;
   entry.accepted = true;
+  entry.opened = true;
   entry.runs_once = route == nullptr || route->kind == RequestKind::kRunsOnce;
   entry.last_packet = now;
   entry.tried.clear();
@@ -334,6 +343,9 @@
   if (refused && agent->record.state == schema::TargetState::kReady) {
     agent->backoff_until = now + kRefusalBackoff;
   }
+  const bool open = IsOpen(flow);
+  ForgetTry(flow, agent->agent);
+  if (open) return;
   PendingSyn& pending = pending_syns_[flow];
   if (pending.packet.empty()) {
     // The agent had queued the SYN for a while.
@@ -345,14 +357,7 @@
     codec_.SetHop(pending.packet.data(), HopTag(), 0);
   }
   if (refused) pending.refused.push_back(agent->agent);
-  const auto it = flows_.find(flow);
-  if (it != flows_.end()) {
-    auto& tried = it->second.tried;
-    tried.erase(std::remove(tried.begin(), tried.end(), agent->agent),
-                tried.end());
-    if (tried.empty()) flows_.erase(it);
-  }
-  if (queue_order_ == QueueOrder::kDeadline &&
+  if (admission_.order == QueueOrder::kDeadline &&
       now - pending.sent > route.target_latency) {
     // In an overload the other targets are full as well.
     pending.retry_at = now + kLateRetryPeriod;
@@ -361,6 +366,24 @@
   Place(now, flow, route, pending);
 }
 
+void FlowBalancer::ForgetTry(const Flow& flow, const Endpoint& agent) {
+  const auto it = flows_.find(flow);
+  if (it == flows_.end()) return;
+  auto& tried = it->second.tried;
+  tried.erase(std::remove(tried.begin(), tried.end(), agent), tried.end());
+  if (tried.empty()) {
+    flows_.erase(it);
+  } else {
+    it->second.agent = tried.back();
+  }
+}
+
+bool FlowBalancer::IsOpen(const Flow& flow) const {
+  if (locator_.Searches(flow)) return true;
+  const auto it = flows_.find(flow);
+  return it != flows_.end() && it->second.opened;
+}
+
 void FlowBalancer::Reset(const Flow& flow, uint32_t acknowledged,
                          std::string_view reason) {
   LogLine(log_, EventKind::kFlowReset, kLogComponent, "flow-reset")
--- a/packages/steering/src/flow_balancer_admission.cc
+++ b/packages/steering/src/flow_balancer_admission.cc
@@ -18,7 +18,7 @@
 
 bool FlowBalancer::RefuseIfOver(TimePoint now, const Flow& flow,
                                 const Route& route, const PendingSyn& pending) {
-  if (queue_order_ != QueueOrder::kDeadline || flows_.count(flow) != 0) {
+  if (admission_.order != QueueOrder::kDeadline || flows_.count(flow) != 0) {
     return false;
   }
   const Duration waited = now - pending.sent;
@@ -80,7 +80,7 @@
   }
   std::sort(
       due.begin(), due.end(),
-      [before = UrgencyOrder(queue_order_)](const auto& a, const auto& b) {
+      [before = UrgencyOrder(admission_.order)](const auto& a, const auto& b) {
         return before(a.first, b.first);
       });
   std::vector<Flow> flows;
--- a/packages/steering_daemon/include/steering_daemon/steering_settings.h
+++ b/packages/steering_daemon/include/steering_daemon/steering_settings.h
@@ -7,7 +7,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
-#include "admission/urgency.h"
+#include "admission/admission_options.h"
 #include "core/endpoint.h"
 #include "core/time.h"
 
@@ -56,7 +56,7 @@
   /** Writes per second that the store accepts from the whole system. */
   double store_writes_per_second = 400;
   /** What goes first while more flows arrive than the targets can take. */
-  QueueOrder queue_order = QueueOrder::kPriority;
+  AdmissionOptions admission;
   /** Minimum lease that the store grants. */
   Duration min_lease = std::chrono::seconds(1);
   /** Resources of this instance. */
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -23,7 +23,7 @@
   options.self = settings.packet_address;
   options.service = settings.service;
   options.flow_lifetime = settings.flow_lifetime;
-  options.queue_order = settings.queue_order;
+  options.admission = settings.admission;
   options.zone = settings.zone;
   return options;
 }
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -48,7 +48,7 @@
       placement_(
           MakePlacement(placement.kind, MakeTopology(settings_), directory_)),
       balancer_({MakeTopology(settings_), settings_.flow_lifetime,
-                 placement.split, settings_.queue_order},
+                 placement.split, settings_.admission},
                 deps.codec, directory_, zones_, *placement_, *this, deps.log),
       follower_(deps.store, deps.scheduler, deps.random, deps.log,
                 MakeReplicaKeys(deps.decoder), FollowerOptions(),
