--- a/packages/daemon/src/steering_command.cc
+++ b/packages/daemon/src/steering_command.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <memory>
 
+#include "admission/admission_options.h"
 #include "core/random.h"
 #include "daemon/log.h"
 #include "daemon/loop_scheduler.h"
@@ -44,6 +45,7 @@
   std::string settings_path = kDefaultSettingsPath;
   std::string placement = "least-wait";
   std::string split = "strict";
+  std::string admission;
   std::string log_level = "info";
   uint16_t metrics_port = kDefaultMetricsPort;
   bool check_only = false;
@@ -69,6 +71,16 @@
                   "only at the peers' port")
       ->envname("SESAMESADDLE_METRICS_PORT")
       ->capture_default_str();
+  app->add_option("--admission", options.admission,
+                  "Choices of how new flows are ordered and admitted, separated "
+                  "by commas; the others are the defaults")
+      ->envname("SESAMESADDLE_ADMISSION")
+      ->check(CLI::Validator(
+          [](const std::string& choices) {
+            const auto parsed = ParseAdmissionOptions(choices);
+            return parsed ? std::string() : parsed.error();
+          },
+          "CHOICES"));
   app->add_flag("--check", options.check_only,
                 "Only check the settings; exit code 0 if they are usable");
 }
@@ -194,6 +206,9 @@
     return 0;
   }
   settings->metrics_port = options.metrics_port;
+  // The validator has refused unknown choices.
+  settings->admission =
+      *ParseAdmissionOptions(options.admission, settings->admission);
   return Run(options, *settings, file);
 }
 
