Ways of admission to compare: requests of open flows, wait for room

flow-requests=queued holds the first packet of a request on an open flow at the agent while the target has no room, in one order with the new flows. room-wait=attempt lets a new flow wait at its balancer until its client is about to give the attempt up, instead of refusing it after 400 ms. The defaults are what stood before.

--- a/packages/admission/include/admission/admission_control.h
+++ b/packages/admission/include/admission/admission_control.h
@@ -1,6 +1,7 @@
 #ifndef SESAMESADDLE_ADMISSION_ADMISSION_CONTROL_H_
 #define SESAMESADDLE_ADMISSION_ADMISSION_CONTROL_H_
 
+#include "admission/admission_options.h"
 #include "core/time.h"
 #include "flow_model/route_table.h"
 
@@ -29,14 +30,16 @@
   static constexpr int kTimeoutToWaitRatio = 3;
 
   /** Returns how long a flow of that route may wait for room. */
-  static Duration WaitLimit(const Route& route);
+  static Duration WaitLimit(const Route& route, RoomWait wait);
 
   /**
    * @param work    requests per slot at the best target
    * @param waited  time since the flow's SYN arrived
    */
-  static AdmissionDecision Decide(const Route& route, double work,
-                                  Duration waited);
+  static AdmissionDecision Decide(const Route& route, RoomWait wait,
+                                  double work, Duration waited);
+  /** Returns for how long a client waits for a target to take its flow. */
+  static Duration AttemptTime(const Route& route);
   /**
    * Whether the client is about to give up a flow that was not opened yet, so
    * that a target would only work for a client that is gone.
--- a/packages/admission/src/admission_control.cc
+++ b/packages/admission/src/admission_control.cc
@@ -7,21 +7,26 @@
 
 namespace sesamesaddle {
 
-Duration AdmissionControl::WaitLimit(const Route& route) {
+Duration AdmissionControl::AttemptTime(const Route& route) {
+  // The client's next packet has to arrive in time, too.
+  return std::min(SynPatience::kAttemptTimeout, route.timeout) -
+         HandshakeTimeEstimator::kMaxTimeout;
+}
+
+Duration AdmissionControl::WaitLimit(const Route& route, RoomWait wait) {
+  if (wait == RoomWait::kAttempt) return AttemptTime(route);
   return std::min(kMaxWait, route.timeout / kTimeoutToWaitRatio);
 }
 
 bool AdmissionControl::AttemptIsOver(const Route& route, Duration waited) {
-  // The client's next packet has to arrive in time, too.
-  return waited + HandshakeTimeEstimator::kMaxTimeout >=
-         std::min(SynPatience::kAttemptTimeout, route.timeout);
+  return waited >= AttemptTime(route);
 }
 
-AdmissionDecision AdmissionControl::Decide(const Route& route, double work,
-                                           Duration waited) {
+AdmissionDecision AdmissionControl::Decide(const Route& route, RoomWait wait,
+                                           double work, Duration waited) {
   if (work <= kMaxWorkPerSlot) return AdmissionDecision::kPlace;
-  return waited < WaitLimit(route) ? AdmissionDecision::kWait
-                                   : AdmissionDecision::kRefuse;
+  return waited < WaitLimit(route, wait) ? AdmissionDecision::kWait
+                                         : AdmissionDecision::kRefuse;
 }
 
 }  // namespace sesamesaddle
--- a/packages/admission/src/admission_options.cc
+++ b/packages/admission/src/admission_options.cc
@@ -14,6 +14,14 @@
        [](AdmissionOptions& o) { o.order = QueueOrder::kPriority; }},
       {"order=deadline",
        [](AdmissionOptions& o) { o.order = QueueOrder::kDeadline; }},
+      {"flow-requests=direct",
+       [](AdmissionOptions& o) { o.flow_requests = FlowRequests::kDirect; }},
+      {"flow-requests=queued",
+       [](AdmissionOptions& o) { o.flow_requests = FlowRequests::kQueued; }},
+      {"room-wait=bounded",
+       [](AdmissionOptions& o) { o.room_wait = RoomWait::kBounded; }},
+      {"room-wait=attempt",
+       [](AdmissionOptions& o) { o.room_wait = RoomWait::kAttempt; }},
   };
   return choices;
 }
--- a/packages/admission/tests/admission_test.cc
+++ b/packages/admission/tests/admission_test.cc
@@ -140,16 +140,44 @@
   Route route;
   route.timeout = milliseconds(900);
   using Decision = AdmissionDecision;
-  CHECK(AdmissionControl::Decide(route, 8.0, milliseconds(0)) ==
-        Decision::kPlace);
-  CHECK(AdmissionControl::Decide(route, 8.1, milliseconds(299)) ==
-        Decision::kWait);
-  CHECK(AdmissionControl::Decide(route, 8.1, milliseconds(300)) ==
-        Decision::kRefuse);
-  CHECK(AdmissionControl::Decide(route, 2.0, milliseconds(300)) ==
-        Decision::kPlace);
+  CHECK(AdmissionControl::Decide(route, RoomWait::kBounded, 8.0,
+                                 milliseconds(0)) == Decision::kPlace);
+  CHECK(AdmissionControl::Decide(route, RoomWait::kBounded, 8.1,
+                                 milliseconds(299)) == Decision::kWait);
+  CHECK(AdmissionControl::Decide(route, RoomWait::kBounded, 8.1,
+                                 milliseconds(300)) == Decision::kRefuse);
+  CHECK(AdmissionControl::Decide(route, RoomWait::kBounded, 2.0,
+                                 milliseconds(300)) == Decision::kPlace);
   route.timeout = seconds(10);
-  CHECK(AdmissionControl::WaitLimit(route) == AdmissionControl::kMaxWait);
+  CHECK(AdmissionControl::WaitLimit(route, RoomWait::kBounded) ==
+        AdmissionControl::kMaxWait);
+}
+
+// Guards against refusals while the client still waits for its attempt, which
+// only bring the request back as a new one.
+TEST_CASE("A flow may wait for as long as its client's attempt lasts") {
+  Route route;
+  route.timeout = seconds(10);
+  const auto decide = [&route](Duration waited) {
+    return AdmissionControl::Decide(route, RoomWait::kAttempt, 8.1, waited);
+  };
+  CHECK(decide(milliseconds(1299)) == AdmissionDecision::kWait);
+  CHECK(decide(milliseconds(1300)) == AdmissionDecision::kRefuse);
+}
+
+TEST_CASE("Choices of the admission are parsed, unknown ones are refused") {
+  const auto options =
+      ParseAdmissionOptions("order=deadline,room-wait=attempt");
+  REQUIRE(options);
+  CHECK(options->order == QueueOrder::kDeadline);
+  CHECK(options->room_wait == RoomWait::kAttempt);
+  CHECK(options->flow_requests == FlowRequests::kDirect);
+  AdmissionOptions base;
+  base.flow_requests = FlowRequests::kQueued;
+  CHECK(ParseAdmissionOptions("", base)->flow_requests ==
+        FlowRequests::kQueued);
+  CHECK_FALSE(ParseAdmissionOptions("order=oldest"));
+  CHECK_FALSE(ParseAdmissionOptions("order=deadline,,"));
 }
 
 }  // namespace
--- a/packages/daemon/src/steering_command.cc
+++ b/packages/daemon/src/steering_command.cc
@@ -71,9 +71,10 @@
                   "only at the peers' port")
       ->envname("SESAMESADDLE_METRICS_PORT")
       ->capture_default_str();
-  app->add_option("--admission", options.admission,
-                  "Choices of how new flows are ordered and admitted, separated "
-                  "by commas; the others are the defaults")
+  app->add_option(
+         "--admission", options.admission,
+         "Choices of how new flows are ordered and admitted, separated "
+         "by commas; the others are the defaults")
       ->envname("SESAMESADDLE_ADMISSION")
       ->check(CLI::Validator(
           [](const std::string& choices) {
--- a/packages/flow_model/include/flow_model/packet.h
+++ b/packages/flow_model/include/flow_model/packet.h
@@ -52,6 +52,11 @@
   static SynTimes Unpack(uint32_t packed);
 };
 
+/** Returns whether sequence number `a` is later than `b`, modulo 2^32. */
+inline bool IsAfter(uint32_t a, uint32_t b) {
+  return static_cast<int32_t>(a - b) > 0;
+}
+
 /** The header of one packet of a flow; the payload is opaque. */
 struct PacketHeader {
   Endpoint source;
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -26,9 +26,6 @@
   return {header.destination, header.source};
 }
 
-/** Returns whether sequence number `a` is later than `b`, modulo 2^32. */
-bool IsAfter(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
-
 }  // namespace
 
 FlowAgent::FlowAgent(TimePoint now, FlowAgentOptions options,
@@ -40,6 +37,7 @@
       log_(log),
       response_times_(response_times),
       queue_(options_.admission.order),
+      requests_(options_.admission.order),
       assumed_cold_since_(now),
       started_(now) {}
 
@@ -109,43 +107,44 @@
   }
   const int slots = target_monitor_.announcement().slots;
   const SynTimes times = SynTimes::Unpack(header.echo);
-  if (retransmission || (queue_.empty() && HasRoom(now))) {
-    OpenFlow(now, balancer, flow, header.sequence, times.runs_once, packet,
-             size);
-    return;
-  }
   if (queue_.RecordCopy(flow, header.acknowledged)) return;
   QueuedSyn syn{flow,           std::string(packet, size), header.sequence,
                 balancer,       header.tag.priority,       now,
                 times.waited,   times.target_latency,      header.acknowledged,
                 times.runs_once};
-  QueueOrRefuse(now, std::move(syn), slots);
+  const bool nothing_waits = queue_.empty() && requests_.empty();
+  if (retransmission || (nothing_waits && HasRoom(now))) {
+    OpenFlow(now, std::move(syn));
+  } else {
+    QueueOrRefuse(now, std::move(syn), slots);
+  }
 }
 
-void FlowAgent::OpenFlow(TimePoint now, const Endpoint& balancer,
-                         const Flow& flow, uint32_t sequence, bool runs_once,
-                         char* packet, size_t size) {
-  const auto [it, added] = flows_.try_emplace(flow);
+void FlowAgent::OpenFlow(TimePoint now, QueuedSyn syn) {
+  const auto [it, added] = flows_.try_emplace(syn.flow);
   FlowEntry& entry = it->second;
   const bool retransmission = !added && entry.state == FlowState::kOpening &&
-                              entry.syn_sequence == sequence;
+                              entry.syn_sequence == syn.sequence;
   if (!retransmission) {
     // A client that reuses its port opens a new flow.
     ReleaseWork(entry);
     entry = FlowEntry();
-    entry.syn_sequence = sequence;
-    entry.client_sequence_end = sequence;
-    entry.runs_once = runs_once;
+    requests_.Erase(syn.flow);
+    entry.syn_sequence = syn.sequence;
+    entry.client_sequence_end = syn.sequence;
+    entry.runs_once = syn.runs_once;
+    entry.priority = syn.priority;
+    entry.target_latency = syn.target_latency;
     entry.opened = now;
-    ExpectRequest(now, flow, entry);
+    ExpectRequest(now, syn.flow, entry);
     slow_start_.Record(now);
   }
   entry.last_packet = now;
-  entry.balancer = balancer;
+  entry.balancer = syn.balancer;
   target_monitor_.OnDelivered(now);
-  codec_.SetHop(packet, HopTag(), EncodeEcho(balancer, false));
+  codec_.SetHop(syn.packet.data(), HopTag(), EncodeEcho(syn.balancer, false));
   ++counters_.packets_to_target;
-  output_.ToTarget(std::string_view(packet, size));
+  output_.ToTarget(syn.packet);
 }
 
 void FlowAgent::OnData(TimePoint now, const Endpoint& balancer,
@@ -190,6 +189,7 @@
     RecordUrgentContact(now, balancer).held.push_back(flow);
   }
   entry.balancer = balancer;
+  if (HoldRequest(now, balancer, header, entry, packet, size)) return;
   DeliverToTarget(now, header, &entry, balancer, packet, size);
 }
 
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -52,12 +52,17 @@
 }
 
 void FlowAgent::DispatchQueue(TimePoint now) {
-  if (queue_.empty()) return;
+  if (!queueing()) return;
   queue_.SetServiceTime(ExpectedServiceTime());
-  while (!queue_.empty() && HasRoom(now)) {
-    auto syn = queue_.Pop(now);
-    OpenFlow(now, syn->balancer, syn->flow, syn->sequence, syn->runs_once,
-             syn->packet.data(), syn->packet.size());
+  requests_.SetServiceTime(ExpectedServiceTime());
+  while (queueing()) {
+    if (HeldRequestIsNext(now)) {
+      if (!HasRequestRoom()) return;
+      DeliverHeldRequest(now, *requests_.Pop(now));
+    } else {
+      if (!HasRoom(now)) return;
+      OpenFlow(now, *queue_.Pop(now));
+    }
   }
 }
 
@@ -179,7 +184,7 @@
   report.service_name = service();
   report.state = target_monitor_.state();
   report.silent = target_monitor_.Silent(now);
-  report.queued = static_cast<int32_t>(queue_.size());
+  report.queued = static_cast<int32_t>(queue_.size() + requests_.size());
   report.slots = target_monitor_.announcement().slots;
   report.waiting = in_flight_;
   report.opening = expected_requests_;
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -112,7 +112,8 @@
     if (tries > 0) return true;
     if (RefuseIfEvacuated(flow, route)) return false;
     pending.retry_at = now + kPlacementRetryPeriod;
-    if (now - pending.arrived <= AdmissionControl::WaitLimit(route)) {
+    if (now - pending.arrived <=
+        AdmissionControl::WaitLimit(route, admission_.room_wait)) {
       return true;
     }
     ++counters_.resets_no_target;
--- a/packages/steering/src/flow_balancer_admission.cc
+++ b/packages/steering/src/flow_balancer_admission.cc
@@ -39,7 +39,7 @@
                          const AgentView& chosen, PendingSyn& pending) {
   const double work = WorkPerSlot(now, chosen);
   const Duration waited = now - pending.arrived;
-  switch (AdmissionControl::Decide(route, work, waited)) {
+  switch (AdmissionControl::Decide(route, admission_.room_wait, work, waited)) {
     case AdmissionDecision::kPlace:
       pending.waiting_for_room = false;
       return true;
--- a/tools/experiment/comparison.cc
+++ b/tools/experiment/comparison.cc
@@ -108,13 +108,14 @@
 
 std::string FormatComparison(const ExperimentPlan& plan,
                              const PlayStore& store) {
-  std::string text = "# " + plan.name +
-                     "\n\nWorth: requests in time, late, refused, unserved.\n\n" +
-                     FormatPlays(plan, store) +
-                     "\n| way | plays | in time | late | refused | unserved | "
-                     "mean worth | gain | store's price | broken |\n"
-                     "| --- | --- | --- | --- | --- | --- | --- | --- | --- | "
-                     "--- |\n";
+  std::string text =
+      "# " + plan.name +
+      "\n\nWorth: requests in time, late, refused, unserved.\n\n" +
+      FormatPlays(plan, store) +
+      "\n| way | plays | in time | late | refused | unserved | "
+      "mean worth | gain | store's price | broken |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- | --- | "
+      "--- |\n";
   for (const WaySummary& summary : Compare(plan, store)) {
     text += "| " + summary.way + " | " + std::to_string(summary.plays) + " | " +
             std::to_string(summary.in_time) + " | " +
--- a/tools/experiment/experiment_plan.cc
+++ b/tools/experiment/experiment_plan.cc
@@ -1,9 +1,10 @@
 #include "experiment_plan.h"
 
+#include <toml++/toml.h>
+
 #include <algorithm>
 #include <set>
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace sesamesaddle {
 namespace {
@@ -32,7 +33,8 @@
 std::string ReadWays(const toml::table& table, ExperimentPlan& plan) {
   std::set<std::string> names;
   for (const toml::table* entry : Tables(table, "way")) {
-    const std::string unknown = UnknownKey(*entry, {"name", "balancer", "agent"});
+    const std::string unknown =
+        UnknownKey(*entry, {"name", "balancer", "agent"});
     if (!unknown.empty()) return "way: unknown field " + unknown;
     const Way way{(*entry)["name"].value_or(""),
                   (*entry)["balancer"].value_or(""),
@@ -59,7 +61,8 @@
     if (!unknown.empty()) return "deployment: unknown field " + unknown;
     const std::string site = (*entry)["site"].value_or("");
     const toml::array* days = (*entry)["days"].as_array();
-    if (site.empty() || days == nullptr) return "a deployment lacks site or days";
+    if (site.empty() || days == nullptr)
+      return "a deployment lacks site or days";
     for (const toml::node& day : *days) {
       for (const int seed : seeds) {
         plan.plays.push_back({site, day.value_or(std::string()), seed,
@@ -87,7 +90,8 @@
   if (!unknown.empty()) return tl::unexpected("unknown field " + unknown);
   ExperimentPlan plan;
   plan.name = table["name"].value_or("");
-  if (plan.name.empty()) return tl::unexpected(std::string("the plan has no name"));
+  if (plan.name.empty())
+    return tl::unexpected(std::string("the plan has no name"));
   std::string error = ReadWays(table, plan);
   if (error.empty()) error = ReadPlays(table, plan);
   if (!error.empty()) return tl::unexpected(error);
--- a/tools/experiment/main.cc
+++ b/tools/experiment/main.cc
@@ -69,9 +69,9 @@
     while (!missing.empty() && running.size() < options.jobs) {
       const Play play = missing.front();
       missing.pop_front();
-      const pid_t child = StartBench(
-          options, BenchArguments(play, plan.name + ": " + way.name,
-                                  store.PathOf(way, play)));
+      const pid_t child =
+          StartBench(options, BenchArguments(play, plan.name + ": " + way.name,
+                                             store.PathOf(way, play)));
       if (child < 0) {
         fprintf(stderr, "experiment: %s cannot be started\n",
                 options.bench.c_str());
@@ -130,8 +130,9 @@
 
 int main(int argc, char** argv) {
   sesamesaddle::Options options;
-  CLI::App app("Compares ways of running the system on the same days and seeds.",
-               "experiment");
+  CLI::App app(
+      "Compares ways of running the system on the same days and seeds.",
+      "experiment");
   app.add_option("plan", options.plan_path, "Ways, deployments, days (TOML)")
       ->required()
       ->check(CLI::ExistingFile);
--- a/tools/experiment/play_store.cc
+++ b/tools/experiment/play_store.cc
@@ -7,9 +7,8 @@
 namespace sesamesaddle {
 
 std::string NameOf(const Play& play) {
-  std::string name =
-      std::filesystem::path(play.site).stem().string() + " " +
-      std::filesystem::path(play.day).stem().string();
+  std::string name = std::filesystem::path(play.site).stem().string() + " " +
+                     std::filesystem::path(play.day).stem().string();
   if (play.seed != 0) name += " seed " + std::to_string(play.seed);
   return name;
 }
