--- a/packages/registry/include/registry/replica_follower.h
+++ b/packages/registry/include/registry/replica_follower.h
@@ -1,14 +1,17 @@
 #ifndef SESAMESADDLE_REGISTRY_REPLICA_FOLLOWER_H_
 #define SESAMESADDLE_REGISTRY_REPLICA_FOLLOWER_H_
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "core/event_log.h"
 #include "core/random.h"
 #include "core/scheduler.h"
+#include "registry/recent_changes.h"
 #include "registry/retry_backoff.h"
 #include "registry/store_read_budget.h"
 #include "steering_types.h"
@@ -66,6 +69,8 @@
    * within which the platform expects a process to be up to date again.
    */
   Duration watch_timeout = std::chrono::seconds(2);
+  /** The same for a process that watches for others, which wait for its end. */
+  Duration watch_timeout_for_others = std::chrono::seconds(1);
   /** The same while the store fails; short, to detect its recovery early. */
   Duration watch_timeout_after_failure = std::chrono::milliseconds(200);
   /** Delay between a change and the next watch, to fetch changes in batches. */
@@ -92,6 +97,44 @@
    * renewed, is over by then.
    */
   Duration restored_entry_timeout = std::chrono::seconds(8);
+  /**
+   * A process that does not watch does so after this time without a sign from a
+   * balancer that watches: three missed ones.
+   */
+  Duration peer_timeout = std::chrono::milliseconds(1200);
+  /** Interval at which it checks that. */
+  Duration peer_check_interval = std::chrono::milliseconds(200);
+  /**
+   * Age of the store's last answer up to which a process that watches for
+   * others sends changes: the wait of a watch, and a call.
+   */
+  Duration max_answer_age = std::chrono::milliseconds(1600);
+};
+
+/** For whom a process watches the store. */
+enum class WatchRole {
+  kForItself,
+  kForOthers,  // Sends the changes to processes that do not watch.
+  /**
+   * Learns of changes through OnPeerChanges, and watches itself when that
+   * stops.
+   */
+  kFollower,
+};
+
+/** Reads the store's revision through another process. */
+class RevisionSource {
+ public:
+  using Done = std::function<void(std::optional<StoreRevision>)>;
+
+  virtual ~RevisionSource() = default;
+
+  /**
+   * Reads the revision at a time after this call.
+   * @param done  called with the revision, or with nothing after a timeout
+   * @return whether a process can be asked; if not, `done` is not called
+   */
+  virtual bool ReadRevision(Done done) = 0;
 };
 
 /** Counts since the start of the process. */
@@ -113,6 +156,12 @@
  */
 class ReplicaFollower {
  public:
+  /**
+   * Never written: listing it below the directory's prefix returns the store's
+   * revision and no items.
+   */
+  static constexpr char kUnusedKey[] = "none/";
+
   ReplicaFollower(Store& store, Scheduler& scheduler, RandomSource& random,
                   EventLog& log, ReplicaKeys keys, FollowerOptions options,
                   StoreReadBudget read_budget, ReplicaListener& listener);
@@ -125,6 +174,18 @@
    * last refresh.
    */
   void Refresh();
+  void SetRole(WatchRole role) { role_ = role; }
+  /** Sets a source that Refresh asks first; it must outlive the follower. */
+  void SetRevisionSource(RevisionSource& source) { revision_source_ = &source; }
+  /**
+   * Returns the latest changes for processes that do not watch; nothing unless
+   * this one watches and the store has answered lately.
+   */
+  std::optional<schema::ReplicaChanges> ChangesForFollowers() const;
+  /** Applies the changes of a process that watches. */
+  void OnPeerChanges(const schema::ReplicaChanges& changes);
+  /** Reads the store's revision; `done` gets nothing if that fails. */
+  void ReadRevision(std::function<void(std::optional<StoreRevision>)> done);
   /** Sets the number of processes that share the store's read budget. */
   void SetFollowerCount(size_t followers) { followers_ = followers; }
   /** Applies the parts of a peer's snapshot that are newer than the replica. */
@@ -148,6 +209,7 @@
   const FollowerCounters& counters() const { return counters_; }
   /** Whether the listener is being called for a peer's snapshot. */
   bool copying_from_peer() const { return copying_from_peer_; }
+  WatchRole role() const { return role_; }
   /** Returns when the store began to fail; only valid if not current(). */
   TimePoint failed_since() const { return failed_since_; }
 
@@ -160,6 +222,12 @@
 
   void List();
   void Watch();
+  Duration WatchTimeout() const;
+  /** Whether a process that watches has sent its changes lately. */
+  bool FollowsPeer() const;
+  void CheckPeerLater();
+  /** Watches the store, as a peer has changes that it could not send. */
+  void CatchUpAfterPeer();
   /** Starts the next watch after the batch delay. */
   void WatchAfterBatchDelay();
   /**
@@ -221,6 +289,10 @@
   void OnFailure(StoreError error);
   void OnSuccess();
   Duration BatchDelay() const;
+  /** Reads the store's revision itself for a refresh that began then. */
+  void RefreshFromStore(TimePoint began);
+  /** Ends a refresh: the store was at `revision` after it began. */
+  void OnRevisionRead(TimePoint began, int64_t revision);
   /** Fetches changes; reports `began` if they reach `revision`. */
   void CatchUp(TimePoint began, int64_t revision);
   StoreRevision InEra(int64_t revision) const { return {era_, revision}; }
@@ -266,6 +338,17 @@
   /** Incremented by each new timer, which voids the earlier ones. */
   int64_t batch_timer_generation_ = 0;
   TimePoint last_refresh_{};
+  WatchRole role_ = WatchRole::kForItself;
+  bool watch_in_flight_ = false;
+  /** Time of the store's last answer to a list or watch. */
+  TimePoint store_answered_at_{};
+  /**
+   * Time at which a process that watches showed that this replica has all
+   * changes.
+   */
+  TimePoint confirmed_at_{};
+  RecentChanges recent_changes_;
+  RevisionSource* revision_source_ = nullptr;
 };
 
 }  // namespace sesamesaddle
--- a/packages/registry/src/replica_follower.cc
+++ b/packages/registry/src/replica_follower.cc
@@ -13,9 +13,6 @@
 constexpr char kLogComponent[] = "replica";
 // Removal revisions are kept for older writes that may still arrive.
 constexpr size_t kMaxRemovalRevisions = 10000;
-// Never written: listing it below the directory's prefix returns the store's
-// revision and no items.
-constexpr char kUnusedKey[] = "none/";
 
 std::string WatchedPrefix(const ReplicaKeys& keys) {
   const std::string prefix(
@@ -101,6 +98,7 @@
 
 void ReplicaFollower::List() {
   list_needed_ = true;
+  watch_in_flight_ = false;
   const TimePoint began = scheduler_.Now();
   store_.List(watched_prefix_, Track([this, began](auto list) {
                 if (!list) {
@@ -133,6 +131,7 @@
   const size_t before = entries_.size();
   RemoveMissing(present, InEra(list.revision));
   directory_revision_ = std::max(directory_revision_, InEra(list.revision));
+  recent_changes_.Restart(directory_revision_.number);
   SettleEvacuations(true);
   if (!first_of_era) return;
   counters_.entries_lost += static_cast<int64_t>(before - entries_.size());
@@ -193,11 +192,21 @@
   for (const std::string& key : missing) RemoveEntry(key, as_of);
 }
 
+Duration ReplicaFollower::WatchTimeout() const {
+  if (store_failed_) return options_.watch_timeout_after_failure;
+  return role_ == WatchRole::kForOthers ? options_.watch_timeout_for_others
+                                        : options_.watch_timeout;
+}
+
 void ReplicaFollower::Watch() {
-  const Duration wait = store_failed_ ? options_.watch_timeout_after_failure
-                                      : options_.watch_timeout;
-  store_.Watch(watched_prefix_, directory_revision_.number, wait,
+  if (FollowsPeer()) {
+    CheckPeerLater();
+    return;
+  }
+  watch_in_flight_ = true;
+  store_.Watch(watched_prefix_, directory_revision_.number, WatchTimeout(),
                Track([this](auto changes) {
+                 watch_in_flight_ = false;
                  if (!changes) {
                    if (changes.error() == StoreError::kRevisionCompacted) {
                      list_needed_ = true;
@@ -226,8 +235,17 @@
 }
 
 void ReplicaFollower::ApplyChanges(const schema::KeyValueList& changes) {
-  for (const schema::KeyValue& item : changes.items) ApplyChange(item, false);
+  bool has_configuration = false;
+  for (const schema::KeyValue& item : changes.items) {
+    ApplyChange(item, false);
+    if (item.key == keys_.configuration) {
+      has_configuration = true;
+    } else {
+      recent_changes_.Add(item, era_.value());
+    }
+  }
   directory_revision_ = std::max(directory_revision_, InEra(changes.revision));
+  if (has_configuration) recent_changes_.Restart(directory_revision_.number);
   SettleEvacuations(false);
 }
 
@@ -238,20 +256,40 @@
   if (refreshing_ || !loaded() || began - last_refresh_ < period) return;
   refreshing_ = true;
   last_refresh_ = began;
+  const auto on_answer = [this, began](std::optional<StoreRevision> answer) {
+    if (answer && answer->era == era_) {
+      OnRevisionRead(began, answer->number);
+    } else {
+      RefreshFromStore(began);
+    }
+  };
+  const bool asked = role_ == WatchRole::kFollower &&
+                     revision_source_ != nullptr &&
+                     revision_source_->ReadRevision(on_answer);
+  if (!asked) RefreshFromStore(began);
+}
+
+void ReplicaFollower::RefreshFromStore(TimePoint began) {
   store_.List(keys_.directory_prefix + kUnusedKey, [this, began](auto list) {
     if (!EnterEra() || BehindReplica()) {
       refreshing_ = false;
     } else if (!list) {
       FailRefresh(list.error());
-    } else if (InEra(list->revision) > directory_revision_) {
-      CatchUp(began, list->revision);
     } else {
-      refreshing_ = false;
-      if (current()) listener_.OnSynchronized(began);
+      OnRevisionRead(began, list->revision);
     }
   });
 }
 
+void ReplicaFollower::OnRevisionRead(TimePoint began, int64_t revision) {
+  if (InEra(revision) > directory_revision_) {
+    CatchUp(began, revision);
+    return;
+  }
+  refreshing_ = false;
+  if (current()) listener_.OnSynchronized(began);
+}
+
 void ReplicaFollower::CatchUp(TimePoint began, int64_t revision) {
   store_.Watch(watched_prefix_, directory_revision_.number, Duration::zero(),
                [this, began, revision](auto changes) {
@@ -369,6 +407,7 @@
       .Add("era", peer.directory.era.value())
       .Add("entries", entries_.size());
   directory_revision_ = peer.directory;
+  recent_changes_.Restart(directory_revision_.number);
   era_ = std::max(era_, peer.directory.era);
 }
 
@@ -398,6 +437,7 @@
 }
 
 void ReplicaFollower::OnFailure(StoreError error) {
+  watch_in_flight_ = false;
   if (!store_failed_) {
     failed_since_ = scheduler_.Now();
     LogLine(log_, EventKind::kDependency, kLogComponent, "store-lost")
@@ -417,6 +457,7 @@
 }
 
 void ReplicaFollower::OnSuccess() {
+  store_answered_at_ = scheduler_.Now();
   backoff_.Reset();
   if (!store_failed_) return;
   store_failed_ = false;
--- a/packages/schema/gen/steering_types.cpp
+++ b/packages/schema/gen/steering_types.cpp
@@ -2844,6 +2844,468 @@
 }
 
 
+ReplicaChanges::~ReplicaChanges() noexcept {
+}
+
+
+void ReplicaChanges::__set_version(const ReplicaVersion& val) {
+  this->version = val;
+}
+
+void ReplicaChanges::__set_after_revision(const int64_t val) {
+  this->after_revision = val;
+}
+
+void ReplicaChanges::__set_entries(const std::vector<ReplicaEntry> & val) {
+  this->entries = val;
+}
+
+void ReplicaChanges::__set_removed(const std::vector<ReplicaEntry> & val) {
+  this->removed = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplicaChanges& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplicaChanges::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_version = false;
+  bool isset_after_revision = false;
+  bool isset_entries = false;
+  bool isset_removed = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->version.read(iprot);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after_revision);
+          isset_after_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->entries.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
+            {
+              xfer += this->entries[_i106].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->removed.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
+            {
+              xfer += this->removed[_i111].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_after_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_entries)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_removed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ReplicaChanges::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicaChanges");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->version.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after_revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->after_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<ReplicaEntry> ::const_iterator _iter112;
+    for (_iter112 = this->entries.begin(); _iter112 != this->entries.end(); ++_iter112)
+    {
+      xfer += (*_iter112).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
+    std::vector<ReplicaEntry> ::const_iterator _iter113;
+    for (_iter113 = this->removed.begin(); _iter113 != this->removed.end(); ++_iter113)
+    {
+      xfer += (*_iter113).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplicaChanges &a, ReplicaChanges &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.after_revision, b.after_revision);
+  swap(a.entries, b.entries);
+  swap(a.removed, b.removed);
+}
+
+ReplicaChanges::ReplicaChanges(const ReplicaChanges& other114) {
+  version = other114.version;
+  after_revision = other114.after_revision;
+  entries = other114.entries;
+  removed = other114.removed;
+}
+ReplicaChanges::ReplicaChanges(ReplicaChanges&& other115) noexcept {
+  version = std::move(other115.version);
+  after_revision = other115.after_revision;
+  entries = std::move(other115.entries);
+  removed = std::move(other115.removed);
+}
+ReplicaChanges& ReplicaChanges::operator=(const ReplicaChanges& other116) {
+  version = other116.version;
+  after_revision = other116.after_revision;
+  entries = other116.entries;
+  removed = other116.removed;
+  return *this;
+}
+ReplicaChanges& ReplicaChanges::operator=(ReplicaChanges&& other117) noexcept {
+  version = std::move(other117.version);
+  after_revision = other117.after_revision;
+  entries = std::move(other117.entries);
+  removed = std::move(other117.removed);
+  return *this;
+}
+void ReplicaChanges::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplicaChanges(";
+  out << "version=" << to_string(version);
+  out << ", " << "after_revision=" << to_string(after_revision);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "removed=" << to_string(removed);
+  out << ")";
+}
+
+
+RevisionQuery::~RevisionQuery() noexcept {
+}
+
+
+void RevisionQuery::__set_token(const int64_t val) {
+  this->token = val;
+}
+std::ostream& operator<<(std::ostream& out, const RevisionQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RevisionQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_token = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          isset_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_token)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RevisionQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RevisionQuery");
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RevisionQuery &a, RevisionQuery &b) {
+  using ::std::swap;
+  swap(a.token, b.token);
+}
+
+RevisionQuery::RevisionQuery(const RevisionQuery& other118) noexcept {
+  token = other118.token;
+}
+RevisionQuery::RevisionQuery(RevisionQuery&& other119) noexcept {
+  token = other119.token;
+}
+RevisionQuery& RevisionQuery::operator=(const RevisionQuery& other120) noexcept {
+  token = other120.token;
+  return *this;
+}
+RevisionQuery& RevisionQuery::operator=(RevisionQuery&& other121) noexcept {
+  token = other121.token;
+  return *this;
+}
+void RevisionQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RevisionQuery(";
+  out << "token=" << to_string(token);
+  out << ")";
+}
+
+
+RevisionReply::~RevisionReply() noexcept {
+}
+
+
+void RevisionReply::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void RevisionReply::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void RevisionReply::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const RevisionReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RevisionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_token = false;
+  bool isset_era = false;
+  bool isset_revision = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          isset_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          isset_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_token)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_era)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RevisionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RevisionReply");
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RevisionReply &a, RevisionReply &b) {
+  using ::std::swap;
+  swap(a.token, b.token);
+  swap(a.era, b.era);
+  swap(a.revision, b.revision);
+}
+
+RevisionReply::RevisionReply(const RevisionReply& other122) noexcept {
+  token = other122.token;
+  era = other122.era;
+  revision = other122.revision;
+}
+RevisionReply::RevisionReply(RevisionReply&& other123) noexcept {
+  token = other123.token;
+  era = other123.era;
+  revision = other123.revision;
+}
+RevisionReply& RevisionReply::operator=(const RevisionReply& other124) noexcept {
+  token = other124.token;
+  era = other124.era;
+  revision = other124.revision;
+  return *this;
+}
+RevisionReply& RevisionReply::operator=(RevisionReply&& other125) noexcept {
+  token = other125.token;
+  era = other125.era;
+  revision = other125.revision;
+  return *this;
+}
+void RevisionReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RevisionReply(";
+  out << "token=" << to_string(token);
+  out << ", " << "era=" << to_string(era);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
 SteeringMessage::~SteeringMessage() noexcept {
 }
 
@@ -2867,6 +3329,21 @@
   this->notice = val;
 __isset.notice = true;
 }
+
+void SteeringMessage::__set_changes(const ReplicaChanges& val) {
+  this->changes = val;
+__isset.changes = true;
+}
+
+void SteeringMessage::__set_revision_query(const RevisionQuery& val) {
+  this->revision_query = val;
+__isset.revision_query = true;
+}
+
+void SteeringMessage::__set_revision_reply(const RevisionReply& val) {
+  this->revision_reply = val;
+__isset.revision_reply = true;
+}
 std::ostream& operator<<(std::ostream& out, const SteeringMessage& obj)
 {
   obj.printTo(out);
@@ -2927,6 +3404,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->changes.read(iprot);
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->revision_query.read(iprot);
+          this->__isset.revision_query = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->revision_reply.read(iprot);
+          this->__isset.revision_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2964,6 +3465,21 @@
     xfer += this->notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.changes) {
+    xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->changes.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.revision_query) {
+    xfer += oprot->writeFieldBegin("revision_query", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->revision_query.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.revision_reply) {
+    xfer += oprot->writeFieldBegin("revision_reply", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->revision_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2975,37 +3491,52 @@
   swap(a.version, b.version);
   swap(a.query, b.query);
   swap(a.notice, b.notice);
+  swap(a.changes, b.changes);
+  swap(a.revision_query, b.revision_query);
+  swap(a.revision_reply, b.revision_reply);
   swap(a.__isset, b.__isset);
 }
 
-SteeringMessage::SteeringMessage(const SteeringMessage& other102) {
-  report = other102.report;
-  version = other102.version;
-  query = other102.query;
-  notice = other102.notice;
-  __isset = other102.__isset;
-}
-SteeringMessage::SteeringMessage(SteeringMessage&& other103) noexcept {
-  report = std::move(other103.report);
-  version = std::move(other103.version);
-  query = std::move(other103.query);
-  notice = std::move(other103.notice);
-  __isset = other103.__isset;
-}
-SteeringMessage& SteeringMessage::operator=(const SteeringMessage& other104) {
-  report = other104.report;
-  version = other104.version;
-  query = other104.query;
-  notice = other104.notice;
-  __isset = other104.__isset;
+SteeringMessage::SteeringMessage(const SteeringMessage& other126) {
+  report = other126.report;
+  version = other126.version;
+  query = other126.query;
+  notice = other126.notice;
+  changes = other126.changes;
+  revision_query = other126.revision_query;
+  revision_reply = other126.revision_reply;
+  __isset = other126.__isset;
+}
+SteeringMessage::SteeringMessage(SteeringMessage&& other127) noexcept {
+  report = std::move(other127.report);
+  version = std::move(other127.version);
+  query = std::move(other127.query);
+  notice = std::move(other127.notice);
+  changes = std::move(other127.changes);
+  revision_query = std::move(other127.revision_query);
+  revision_reply = std::move(other127.revision_reply);
+  __isset = other127.__isset;
+}
+SteeringMessage& SteeringMessage::operator=(const SteeringMessage& other128) {
+  report = other128.report;
+  version = other128.version;
+  query = other128.query;
+  notice = other128.notice;
+  changes = other128.changes;
+  revision_query = other128.revision_query;
+  revision_reply = other128.revision_reply;
+  __isset = other128.__isset;
   return *this;
 }
-SteeringMessage& SteeringMessage::operator=(SteeringMessage&& other105) noexcept {
-  report = std::move(other105.report);
-  version = std::move(other105.version);
-  query = std::move(other105.query);
-  notice = std::move(other105.notice);
-  __isset = other105.__isset;
+SteeringMessage& SteeringMessage::operator=(SteeringMessage&& other129) noexcept {
+  report = std::move(other129.report);
+  version = std::move(other129.version);
+  query = std::move(other129.query);
+  notice = std::move(other129.notice);
+  changes = std::move(other129.changes);
+  revision_query = std::move(other129.revision_query);
+  revision_reply = std::move(other129.revision_reply);
+  __isset = other129.__isset;
   return *this;
 }
 void SteeringMessage::printTo(std::ostream& out) const {
@@ -3015,6 +3546,9 @@
   out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ", " << "query="; (__isset.query ? (out << to_string(query)) : (out << "<null>"));
   out << ", " << "notice="; (__isset.notice ? (out << to_string(notice)) : (out << "<null>"));
+  out << ", " << "changes="; (__isset.changes ? (out << to_string(changes)) : (out << "<null>"));
+  out << ", " << "revision_query="; (__isset.revision_query ? (out << to_string(revision_query)) : (out << "<null>"));
+  out << ", " << "revision_reply="; (__isset.revision_reply ? (out << to_string(revision_reply)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3142,14 +3676,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->targets.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->targets.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->targets[_i110].read(iprot);
+              xfer += this->targets[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3162,17 +3696,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->counters.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _ktype112;
-            ::apache::thrift::protocol::TType _vtype113;
-            xfer += iprot->readMapBegin(_ktype112, _vtype113, _size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _ktype136;
+            ::apache::thrift::protocol::TType _vtype137;
+            xfer += iprot->readMapBegin(_ktype136, _vtype137, _size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              std::string _key116;
-              xfer += iprot->readString(_key116);
-              int64_t& _val117 = this->counters[_key116];
-              xfer += iprot->readI64(_val117);
+              std::string _key140;
+              xfer += iprot->readString(_key140);
+              int64_t& _val141 = this->counters[_key140];
+              xfer += iprot->readI64(_val141);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3241,10 +3775,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetRecord> ::const_iterator _iter118;
-    for (_iter118 = this->targets.begin(); _iter118 != this->targets.end(); ++_iter118)
+    std::vector<TargetRecord> ::const_iterator _iter142;
+    for (_iter142 = this->targets.begin(); _iter142 != this->targets.end(); ++_iter142)
     {
-      xfer += (*_iter118).write(oprot);
+      xfer += (*_iter142).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3253,11 +3787,11 @@
   xfer += oprot->writeFieldBegin("counters", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->counters.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter119;
-    for (_iter119 = this->counters.begin(); _iter119 != this->counters.end(); ++_iter119)
+    std::map<std::string, int64_t> ::const_iterator _iter143;
+    for (_iter143 = this->counters.begin(); _iter143 != this->counters.end(); ++_iter143)
     {
-      xfer += oprot->writeString(_iter119->first);
-      xfer += oprot->writeI64(_iter119->second);
+      xfer += oprot->writeString(_iter143->first);
+      xfer += oprot->writeI64(_iter143->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3280,46 +3814,46 @@
   swap(a.counters, b.counters);
 }
 
-SteeringState::SteeringState(const SteeringState& other120) {
-  name = other120.name;
-  role = other120.role;
-  zone = other120.zone;
-  ready = other120.ready;
-  stopping = other120.stopping;
-  version = other120.version;
-  targets = other120.targets;
-  counters = other120.counters;
-}
-SteeringState::SteeringState(SteeringState&& other121) noexcept {
-  name = std::move(other121.name);
-  role = std::move(other121.role);
-  zone = std::move(other121.zone);
-  ready = other121.ready;
-  stopping = other121.stopping;
-  version = std::move(other121.version);
-  targets = std::move(other121.targets);
-  counters = std::move(other121.counters);
-}
-SteeringState& SteeringState::operator=(const SteeringState& other122) {
-  name = other122.name;
-  role = other122.role;
-  zone = other122.zone;
-  ready = other122.ready;
-  stopping = other122.stopping;
-  version = other122.version;
-  targets = other122.targets;
-  counters = other122.counters;
+SteeringState::SteeringState(const SteeringState& other144) {
+  name = other144.name;
+  role = other144.role;
+  zone = other144.zone;
+  ready = other144.ready;
+  stopping = other144.stopping;
+  version = other144.version;
+  targets = other144.targets;
+  counters = other144.counters;
+}
+SteeringState::SteeringState(SteeringState&& other145) noexcept {
+  name = std::move(other145.name);
+  role = std::move(other145.role);
+  zone = std::move(other145.zone);
+  ready = other145.ready;
+  stopping = other145.stopping;
+  version = std::move(other145.version);
+  targets = std::move(other145.targets);
+  counters = std::move(other145.counters);
+}
+SteeringState& SteeringState::operator=(const SteeringState& other146) {
+  name = other146.name;
+  role = other146.role;
+  zone = other146.zone;
+  ready = other146.ready;
+  stopping = other146.stopping;
+  version = other146.version;
+  targets = other146.targets;
+  counters = other146.counters;
   return *this;
 }
-SteeringState& SteeringState::operator=(SteeringState&& other123) noexcept {
-  name = std::move(other123.name);
-  role = std::move(other123.role);
-  zone = std::move(other123.zone);
-  ready = other123.ready;
-  stopping = other123.stopping;
-  version = std::move(other123.version);
-  targets = std::move(other123.targets);
-  counters = std::move(other123.counters);
+SteeringState& SteeringState::operator=(SteeringState&& other147) noexcept {
+  name = std::move(other147.name);
+  role = std::move(other147.role);
+  zone = std::move(other147.zone);
+  ready = other147.ready;
+  stopping = other147.stopping;
+  version = std::move(other147.version);
+  targets = std::move(other147.targets);
+  counters = std::move(other147.counters);
   return *this;
 }
 void SteeringState::printTo(std::ostream& out) const {
--- a/packages/schema/gen/steering_types.h
+++ b/packages/schema/gen/steering_types.h
@@ -63,6 +63,12 @@
 
 class ReplicaSnapshot;
 
+class ReplicaChanges;
+
+class RevisionQuery;
+
+class RevisionReply;
+
 class SteeringMessage;
 
 class SteeringState;
@@ -963,12 +969,159 @@
 
 std::ostream& operator<<(std::ostream& out, const ReplicaSnapshot& obj);
 
+
+class ReplicaChanges : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplicaChanges(const ReplicaChanges&);
+  ReplicaChanges(ReplicaChanges&&) noexcept;
+  ReplicaChanges& operator=(const ReplicaChanges&);
+  ReplicaChanges& operator=(ReplicaChanges&&) noexcept;
+  ReplicaChanges() noexcept
+                 : after_revision(0) {
+  }
+
+  virtual ~ReplicaChanges() noexcept;
+  ReplicaVersion version;
+  int64_t after_revision;
+  std::vector<ReplicaEntry>  entries;
+  std::vector<ReplicaEntry>  removed;
+
+  void __set_version(const ReplicaVersion& val);
+
+  void __set_after_revision(const int64_t val);
+
+  void __set_entries(const std::vector<ReplicaEntry> & val);
+
+  void __set_removed(const std::vector<ReplicaEntry> & val);
+
+  bool operator == (const ReplicaChanges & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(after_revision == rhs.after_revision))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicaChanges &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicaChanges & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReplicaChanges &a, ReplicaChanges &b);
+
+std::ostream& operator<<(std::ostream& out, const ReplicaChanges& obj);
+
+
+class RevisionQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  RevisionQuery(const RevisionQuery&) noexcept;
+  RevisionQuery(RevisionQuery&&) noexcept;
+  RevisionQuery& operator=(const RevisionQuery&) noexcept;
+  RevisionQuery& operator=(RevisionQuery&&) noexcept;
+  RevisionQuery() noexcept
+                : token(0) {
+  }
+
+  virtual ~RevisionQuery() noexcept;
+  int64_t token;
+
+  void __set_token(const int64_t val);
+
+  bool operator == (const RevisionQuery & rhs) const
+  {
+    if (!(token == rhs.token))
+      return false;
+    return true;
+  }
+  bool operator != (const RevisionQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RevisionQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RevisionQuery &a, RevisionQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const RevisionQuery& obj);
+
+
+class RevisionReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  RevisionReply(const RevisionReply&) noexcept;
+  RevisionReply(RevisionReply&&) noexcept;
+  RevisionReply& operator=(const RevisionReply&) noexcept;
+  RevisionReply& operator=(RevisionReply&&) noexcept;
+  RevisionReply() noexcept
+                : token(0),
+                  era(0),
+                  revision(0) {
+  }
+
+  virtual ~RevisionReply() noexcept;
+  int64_t token;
+  int64_t era;
+  int64_t revision;
+
+  void __set_token(const int64_t val);
+
+  void __set_era(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const RevisionReply & rhs) const
+  {
+    if (!(token == rhs.token))
+      return false;
+    if (!(era == rhs.era))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const RevisionReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RevisionReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RevisionReply &a, RevisionReply &b);
+
+std::ostream& operator<<(std::ostream& out, const RevisionReply& obj);
+
 typedef struct _SteeringMessage__isset {
-  _SteeringMessage__isset() : report(false), version(false), query(false), notice(false) {}
+  _SteeringMessage__isset() : report(false), version(false), query(false), notice(false), changes(false), revision_query(false), revision_reply(false) {}
   bool report :1;
   bool version :1;
   bool query :1;
   bool notice :1;
+  bool changes :1;
+  bool revision_query :1;
+  bool revision_reply :1;
 } _SteeringMessage__isset;
 
 class SteeringMessage : public virtual ::apache::thrift::TBase {
@@ -986,6 +1139,9 @@
   ReplicaVersion version;
   FlowQuery query;
   AgentNotice notice;
+  ReplicaChanges changes;
+  RevisionQuery revision_query;
+  RevisionReply revision_reply;
 
   _SteeringMessage__isset __isset;
 
@@ -997,6 +1153,12 @@
 
   void __set_notice(const AgentNotice& val);
 
+  void __set_changes(const ReplicaChanges& val);
+
+  void __set_revision_query(const RevisionQuery& val);
+
+  void __set_revision_reply(const RevisionReply& val);
+
   bool operator == (const SteeringMessage & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -1015,6 +1177,18 @@
       return false;
     else if (__isset.notice && !(notice == rhs.notice))
       return false;
+    if (__isset.changes != rhs.__isset.changes)
+      return false;
+    else if (__isset.changes && !(changes == rhs.changes))
+      return false;
+    if (__isset.revision_query != rhs.__isset.revision_query)
+      return false;
+    else if (__isset.revision_query && !(revision_query == rhs.revision_query))
+      return false;
+    if (__isset.revision_reply != rhs.__isset.revision_reply)
+      return false;
+    else if (__isset.revision_reply && !(revision_reply == rhs.revision_reply))
+      return false;
     return true;
   }
   bool operator != (const SteeringMessage &rhs) const {
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -174,12 +174,39 @@
   3: required list<ReplicaEntry> entries
 }
 
+// The latest changes of the replica of a balancer that watches the store, sent
+// to balancers that do not. Also sent without changes, as a sign that the sender
+// follows the store.
+struct ReplicaChanges {
+  1: required ReplicaVersion version
+  // The entries below are all changes of the directory after this revision.
+  2: required i64 after_revision
+  3: required list<ReplicaEntry> entries
+  // Entries that were removed, without their values.
+  4: required list<ReplicaEntry> removed
+}
+
+// Asks a balancer for the store's revision at a time after this query arrives.
+struct RevisionQuery {
+  // Repeated in the reply.
+  1: required i64 token
+}
+
+struct RevisionReply {
+  1: required i64 token
+  2: required i64 era
+  3: required i64 revision
+}
+
 // A control datagram; exactly one field is set.
 struct SteeringMessage {
   1: optional AgentReport report
   2: optional ReplicaVersion version
   3: optional FlowQuery query
   4: optional AgentNotice notice
+  5: optional ReplicaChanges changes
+  6: optional RevisionQuery revision_query
+  7: optional RevisionReply revision_reply
 }
 
 // State dump of a process that steers flows.
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -83,8 +83,6 @@
   void OnControl(const Endpoint& from, std::string_view bytes);
   void SendToAgent(const Endpoint& agent,
                    const schema::SteeringMessage& message);
-  void SendVersion(const Endpoint& control,
-                   const schema::ReplicaVersion& version);
   void Flush();
   void ScheduleTick();
   void Tick();
--- a/packages/steering_daemon/include/steering_daemon/replica_exchange.h
+++ b/packages/steering_daemon/include/steering_daemon/replica_exchange.h
@@ -13,6 +13,7 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "registry/replica_follower.h"
+#include "registry/watcher_choice.h"
 #include "steering_types.h"
 
 namespace sesamesaddle {
@@ -22,19 +23,28 @@
  * peer with a newer replica. This keeps a balancer without access to the store
  * up to date while others have access.
  */
-class ReplicaExchange {
+class ReplicaExchange : public RevisionSource {
  public:
-  using SendVersion = std::function<void(const Endpoint& control,
-                                         const schema::ReplicaVersion&)>;
+  using Send = std::function<void(const Endpoint& control,
+                                  const schema::SteeringMessage&)>;
 
   /** Interval of rounds; each sends the version to two random peers. */
   static constexpr Duration kPeriod = std::chrono::milliseconds(1000);
   static constexpr int kPeersPerRound = 2;
   /** Timeout of fetching a snapshot from a peer. */
   static constexpr Duration kFetchTimeout = std::chrono::milliseconds(800);
+  /**
+   * A watcher that has no news sends its position after this time, three times
+   * within FollowerOptions::peer_timeout.
+   */
+  static constexpr Duration kSignPeriod = std::chrono::milliseconds(400);
+  /** Interval of a watcher's reads of the revision for others. */
+  static constexpr Duration kMinReadInterval = std::chrono::milliseconds(50);
+  /** Time after which the process reads the revision itself. */
+  static constexpr Duration kRevisionTimeout = std::chrono::milliseconds(120);
 
   ReplicaExchange(EventLoop& loop, RandomSource& random, EventLog& log,
-                  ReplicaFollower& follower, SendVersion send);
+                  ReplicaFollower& follower, std::string own_key, Send send);
 
   /**
    * Adds or updates a balancer.
@@ -58,6 +68,18 @@
   void OnPeerVersion(const Endpoint& control, const Endpoint& replica,
                      const schema::ReplicaVersion& version);
 
+  /** Sends changes to the followers if there are any, or a sign is due. */
+  void SendChanges();
+  void OnPeerChanges(const schema::ReplicaChanges& changes) {
+    follower_.OnPeerChanges(changes);
+  }
+  /** Reads the revision for a follower, together with other queries. */
+  void OnRevisionQuery(const Endpoint& control,
+                       const schema::RevisionQuery& query);
+  void OnRevisionReply(const schema::RevisionReply& reply);
+  /** Asks a watcher for the store's revision. */
+  bool ReadRevision(Done done) override;
+
   size_t peer_count() const { return peers_.size(); }
 
   struct Peer {
@@ -68,6 +90,16 @@
   const std::map<std::string, Peer>& peers() const { return peers_; }
 
  private:
+  /** A query that waits for the next read of the revision. */
+  struct WaitingQuery {
+    Endpoint control;
+    int64_t token = 0;
+  };
+
+  /** Computes the watchers again after a change of the peers. */
+  void ChooseWatchers();
+  void SendVersion(const Endpoint& control);
+  void ReadRevisionForOthers();
   void FetchSnapshot(const Endpoint& replica);
   HttpClient& HttpClientFor(const Endpoint& replica);
 
@@ -75,7 +107,20 @@
   RandomSource& random_;
   EventLog& log_;
   ReplicaFollower& follower_;
-  SendVersion send_version_;
+  std::string own_key_;
+  Send send_;
+  WatcherChoice choice_;
+  StoreRevision sent_revision_;
+  TimePoint last_sign_{};
+  /** Queries that arrived since the last read of the revision began. */
+  std::vector<WaitingQuery> queries_;
+  bool reading_revision_ = false;
+  TimePoint last_read_{};
+  /** The query of this process that has no reply yet, if any. */
+  Done pending_done_;
+  int64_t token_ = 0;
+  EventLoop::Timer revision_timer_;
+  EventLoop::Timer read_timer_;
   std::map<std::string, Peer> peers_;
   std::vector<Endpoint> seeds_;
   std::map<Endpoint, std::unique_ptr<HttpClient>> clients_;
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -54,9 +54,11 @@
                 MakeReplicaKeys(deps.decoder), FollowerOptions(),
                 StoreReadBudget(settings_.store_reads_per_second), *this),
       exchange_(deps.loop, deps.random, deps.log, follower_,
+                DirectoryKeys::OfBalancer(
+                    PeerEndpoint(settings_, settings_.ip, PeerPort::kControl)),
                 [this](const Endpoint& control,
-                       const schema::ReplicaVersion& version) {
-                  SendVersion(control, version);
+                       const schema::SteeringMessage& message) {
+                  control_socket_->Queue(control, EncodeCompact(message));
                 }),
       registration_(deps.store, deps.scheduler, deps.random, deps.log,
                     MakeRegistrationOptions(settings_),
@@ -332,13 +334,13 @@
         from, PeerEndpoint(settings_, from.ip(), PeerPort::kReplica),
         message->version);
   }
-}
-
-void BalancerProcess::SendVersion(const Endpoint& control,
-                                  const schema::ReplicaVersion& version) {
-  schema::SteeringMessage message;
-  message.__set_version(version);
-  control_socket_->Queue(control, EncodeCompact(message));
+  if (message->__isset.changes) exchange_.OnPeerChanges(message->changes);
+  if (message->__isset.revision_query) {
+    exchange_.OnRevisionQuery(from, message->revision_query);
+  }
+  if (message->__isset.revision_reply) {
+    exchange_.OnRevisionReply(message->revision_reply);
+  }
 }
 
 void BalancerProcess::Flush() {
@@ -366,6 +368,7 @@
   const TimePoint now = deps_.loop.Now();
   follower_.SetFollowerCount(exchange_.peer_count() + 1);
   balancer_.SetStoreCurrent(follower_.current());
+  exchange_.SendChanges();
   Ready();  // Logs the end of a startup wait also between probes.
   const auto gone = directory_.Expire(now, follower_.current());
   if (!gone.empty()) balancer_.OnAgentsRemoved(now, gone);
@@ -442,7 +445,7 @@
       {"resets_no_route_total", c.resets_no_route},
       {"resets_no_target_total", c.resets_no_target},
       {"resets_overload_total", c.resets_overload},
-      {"resets_attempt_over_total", c.resets_attempt_over},
+      {"attempts_over_total", c.attempts_over},
       {"resets_zones_evacuated_total", c.resets_zones_evacuated},
       {"zones_evacuated", zones_.EvacuatedCount()},
       {"notices_sent_total", c.notices},
--- a/packages/steering_daemon/src/replica_exchange.cc
+++ b/packages/steering_daemon/src/replica_exchange.cc
@@ -15,19 +15,122 @@
 
 ReplicaExchange::ReplicaExchange(EventLoop& loop, RandomSource& random,
                                  EventLog& log, ReplicaFollower& follower,
-                                 SendVersion send)
+                                 std::string own_key, Send send)
     : loop_(loop),
       random_(random),
       log_(log),
       follower_(follower),
-      send_version_(std::move(send)) {}
+      own_key_(std::move(own_key)),
+      send_(std::move(send)) {
+  follower_.SetRevisionSource(*this);
+}
 
 void ReplicaExchange::AddPeer(const std::string& key, const Endpoint& control,
                               const Endpoint& replica) {
   peers_[key] = {control, replica};
+  ChooseWatchers();
+}
+
+void ReplicaExchange::RemovePeer(const std::string& key) {
+  if (peers_.erase(key) > 0) ChooseWatchers();
 }
 
-void ReplicaExchange::RemovePeer(const std::string& key) { peers_.erase(key); }
+void ReplicaExchange::ChooseWatchers() {
+  std::vector<std::string> members;
+  members.reserve(peers_.size() + 1);
+  for (const auto& [key, peer] : peers_) members.push_back(key);
+  members.push_back(own_key_);
+  choice_.Update(own_key_, std::move(members));
+  const bool watched = follower_.role() != WatchRole::kFollower;
+  follower_.SetRole(choice_.role());
+  if (choice_.watches() == watched) return;
+  LogLine(log_, EventKind::kStateChange, kLogComponent,
+          choice_.watches() ? "watches-store" : "follows-watchers")
+      .Add("balancers", peers_.size() + 1)
+      .Add("followers", choice_.followers().size());
+}
+
+void ReplicaExchange::SendVersion(const Endpoint& control) {
+  schema::SteeringMessage message;
+  message.__set_version(follower_.Version());
+  send_(control, message);
+}
+
+void ReplicaExchange::SendChanges() {
+  const TimePoint now = loop_.Now();
+  const StoreRevision revision = follower_.directory_revision();
+  if (revision == sent_revision_ && now - last_sign_ < kSignPeriod) return;
+  if (choice_.followers().empty()) return;
+  auto changes = follower_.ChangesForFollowers();
+  if (!changes) return;
+  sent_revision_ = revision;
+  last_sign_ = now;
+  schema::SteeringMessage message;
+  message.__set_changes(*changes);
+  for (const std::string& key : choice_.followers()) {
+    const auto peer = peers_.find(key);
+    if (peer != peers_.end()) send_(peer->second.control, message);
+  }
+}
+
+void ReplicaExchange::OnRevisionQuery(const Endpoint& control,
+                                      const schema::RevisionQuery& query) {
+  queries_.push_back({control, query.token});
+  ReadRevisionForOthers();
+}
+
+void ReplicaExchange::ReadRevisionForOthers() {
+  if (reading_revision_ || queries_.empty()) return;
+  const TimePoint now = loop_.Now();
+  if (now - last_read_ < kMinReadInterval) {
+    read_timer_ = loop_.After(kMinReadInterval - (now - last_read_),
+                              [this] { ReadRevisionForOthers(); });
+    return;
+  }
+  last_read_ = now;
+  reading_revision_ = true;
+  // Only the queries that came before the read began are answered by it.
+  follower_.ReadRevision([this, queries = std::exchange(queries_, {})](
+                             std::optional<StoreRevision> revision) {
+    reading_revision_ = false;
+    for (const WaitingQuery& query : queries) {
+      if (!revision) break;  // They read it themselves after a timeout.
+      schema::SteeringMessage message;
+      schema::RevisionReply reply;
+      reply.token = query.token;
+      reply.era = revision->era.value();
+      reply.revision = revision->number;
+      message.__set_revision_reply(reply);
+      send_(query.control, message);
+    }
+    ReadRevisionForOthers();
+  });
+}
+
+bool ReplicaExchange::ReadRevision(Done done) {
+  for (const std::string& key : choice_.sources()) {
+    const auto peer = peers_.find(key);
+    if (peer == peers_.end()) continue;
+    pending_done_ = std::move(done);
+    schema::SteeringMessage message;
+    schema::RevisionQuery query;
+    query.token = ++token_;
+    message.__set_revision_query(query);
+    send_(peer->second.control, message);
+    revision_timer_ = loop_.After(kRevisionTimeout, [this] {
+      if (pending_done_) std::exchange(pending_done_, nullptr)(std::nullopt);
+    });
+    return true;
+  }
+  return false;
+}
+
+void ReplicaExchange::OnRevisionReply(const schema::RevisionReply& reply) {
+  if (!pending_done_ || reply.token != token_) return;
+  revision_timer_.Cancel();
+  std::exchange(pending_done_,
+                nullptr)(StoreRevision{StoreEra(reply.era), reply.revision});
+}
 
 void ReplicaExchange::RunRound() {
   if (!follower_.loaded() && !seeds_.empty()) {
@@ -37,7 +140,7 @@
   for (int i = 0; i < kPeersPerRound; ++i) {
     const auto peer = std::next(
         peers_.begin(), static_cast<ptrdiff_t>(random_.Below(peers_.size())));
-    send_version_(peer->second.control, follower_.Version());
+    SendVersion(peer->second.control);
   }
 }
 
@@ -47,7 +150,7 @@
   const ReplicaPosition own(follower_.Version());
   const ReplicaPosition peer(version);
   if (own.ConfigurationIsNewerThan(peer)) {
-    send_version_(control, follower_.Version());
+    SendVersion(control);
     return;
   }
   // A replica that follows the store lags by at most one watch and needs no
