--- a/packages/registry/include/registry/replica_follower.h
+++ b/packages/registry/include/registry/replica_follower.h
@@ -145,6 +145,10 @@
   int64_t restored_entries_held = 0;
   /** Entries of an earlier era that the restored store lacked. */
   int64_t entries_lost = 0;
+  /** Batches of changes that a process that watches has sent. */
+  int64_t batches_from_peers = 0;
+  /** Watches of a process that does not watch otherwise. */
+  int64_t watches_without_peer = 0;
 };
 
 /**
--- a/packages/registry/src/replica_follower.cc
+++ b/packages/registry/src/replica_follower.cc
@@ -204,6 +204,7 @@
     return;
   }
   watch_in_flight_ = true;
+  if (role_ == WatchRole::kFollower) ++counters_.watches_without_peer;
   store_.Watch(watched_prefix_, directory_revision_.number, WatchTimeout(),
                Track([this](auto changes) {
                  watch_in_flight_ = false;
--- a/packages/registry/src/replica_follower_peers.cc
+++ b/packages/registry/src/replica_follower_peers.cc
@@ -52,6 +52,7 @@
       RemoveEntry(entry.key, {StoreEra(entry.era), entry.revision});
     }
     directory_revision_ = peer.directory;
+    ++counters_.batches_from_peers;
     // What was applied here is not passed on.
     recent_changes_.Restart(directory_revision_.number);
     SettleEvacuations(false);
--- a/packages/registry/tests/watcher_test.cc
+++ b/packages/registry/tests/watcher_test.cc
@@ -275,6 +275,9 @@
   // Three watchers of 21 balancers, each with at most one call per 800 ms.
   INFO(fleet.Calls() - before << " calls");
   CHECK(fleet.Calls() - before <= 3 * 16);
+  for (auto* follower : fleet.Followers()) {
+    CHECK(follower->follower.counters().batches_from_peers > 0);
+  }
 }
 
 TEST_CASE("A configuration that fits no datagram reaches all balancers") {
@@ -293,6 +296,9 @@
   // The users' bound of a configuration is 3 s on the smallest deployments.
   fleet.scheduler.RunFor(milliseconds(1800));
   CHECK(fleet.AllCurrent());
+  for (auto* follower : fleet.Followers()) {
+    CHECK(follower->follower.counters().watches_without_peer > 0);
+  }
 }
 
 // Guards against a watcher that cannot reach the store and keeps the others
--- a/packages/steering_daemon/include/steering_daemon/replica_exchange.h
+++ b/packages/steering_daemon/include/steering_daemon/replica_exchange.h
@@ -81,6 +81,8 @@
   bool ReadRevision(Done done) override;
 
   size_t peer_count() const { return peers_.size(); }
+  /** Returns the number of balancers that this one watches the store for. */
+  size_t follower_count() const { return choice_.followers().size(); }
 
   struct Peer {
     Endpoint control;
