--- a/packages/registry/include/registry/watcher_choice.h
+++ b/packages/registry/include/registry/watcher_choice.h
@@ -20,7 +20,7 @@
  */
 class WatcherChoice {
  public:
-  /** With fewer watchers, the loss of two at once would stop the changes. */
+  /** With fewer, the loss of two at once would stop the changes. */
   static constexpr size_t kMinWatchers = 3;
   /** Balancers per watcher, which sends each change to all it serves. */
   static constexpr size_t kBalancersPerWatcher = 16;
@@ -35,6 +35,7 @@
 
   /** Whether this balancer watches the store. */
   bool watches() const { return watches_; }
+  /** Returns for whom this balancer watches. */
   WatchRole role() const;
   /** Balancers that this one sends changes to; none if it does not watch. */
   const std::vector<std::string>& followers() const { return followers_; }
--- a/packages/registry/src/replica_follower_peers.cc
+++ b/packages/registry/src/replica_follower_peers.cc
@@ -64,6 +64,7 @@
 void ReplicaFollower::CatchUpAfterPeer() {
   confirmed_at_ = TimePoint();
   if (watch_in_flight_ || batch_pending_) return;
+  ++batch_timer_generation_;  // Voids the next check of the peer.
   Watch();
 }
 
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -307,6 +307,7 @@
                  schema::AgentReport& report);
   void OnSyn(TimePoint now, const Endpoint& balancer,
              const PacketHeader& header, char* packet, size_t size);
+  /** Delivers the SYN of a new flow, or a copy of it. */
   void OpenFlow(TimePoint now, QueuedSyn syn);
   /** Queues the SYN; returns or refuses the one that has no place. */
   void QueueOrRefuse(TimePoint now, QueuedSyn syn, int slots);
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -82,8 +82,8 @@
   PendingSyn& pending = pending_syns_[flow];
   if (pending.packet.empty()) {
     pending.arrived = now;
-    // Without deadlines a wait counts from the arrival at this process.
     pending.seen_first = header.acknowledged == 0;
+    // Without deadlines a wait counts from the arrival at this process.
     pending.sent = admission_.order == QueueOrder::kDeadline
                        ? now - SynPatience::MinWait(header.acknowledged)
                        : now;
