review: resets on routes that are new, and heartbeats of another writer

Case 3 (FLOW): a balancer without the newest configuration resets open flows on routes that the configuration added, as soon as the rotation moves them there. Case 4 (DRAIN, FLOW): a heartbeat with a field of another type replaces the real backend for good.

--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -428,6 +428,8 @@
   /** Pause between an answer and the next request. */
   Millis pause = 1000;
   bool paused = false;
+  /** Opens a flow for each request. */
+  bool fresh = false;
   /** Backend that answered last; -1 before. */
   int backend = -1;
   int64_t answered = 0;
@@ -500,7 +502,10 @@
   /** Resets of open flows count from this time on; -1: not yet. */
   Millis judge_from = -1;
   int64_t resets_before = 0;
-  int64_t config_version = 1;
+  /** Leaves single requests out of the record. */
+  bool quiet_record = false;
+  /** "mod" instead of "steady". */
+  bool hash_mod = false;
 
   void Prepare(int balancers, std::vector<std::string> services);
   void WriteConfig(int64_t version,
@@ -580,7 +585,8 @@
        << "entry = \"announcement\"\nheartbeatMs = " << kHeartbeatMs << "\n"
        << "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\","
           "\"flows\",\"platform\"]\n"
-       << "hashPolicy = \"steady\"\nproxyMode = \"agent\"\n"
+       << "hashPolicy = \"" << (hash_mod ? "mod" : "steady")
+       << "\"\nproxyMode = \"agent\"\n"
        << extra << "[zones]\nz1 = \"r1\"\n"
        << "[listen]\n"
        << listen << "[limits]\ncpuShare = 0.5\ncpus = 1\nmemoryMb = 260\n"
@@ -764,6 +770,15 @@
   const auto in =
       std::count_if(misses.begin(), misses.end(), [](int m) { return m < 2; });
   const bool use_all = 2 * in < layout.balancers;
+  if (hash_mod) {
+    std::vector<int> used;
+    for (int i = 0; i < layout.balancers; ++i) {
+      if (use_all || misses[static_cast<size_t>(i)] < 2) used.push_back(i);
+    }
+    const size_t at = std::hash<std::string>{}(flow.ToString()) % used.size();
+    router->Send(layout.Balancer(used[at], kDatagram), bytes);
+    return;
+  }
   int best = -1;
   uint64_t best_weight = 0;
   for (int i = 0; i < layout.balancers; ++i) {
@@ -997,7 +1012,9 @@
   flow.answer.clear();
   const std::string request = packet.data.substr(0, packet.data.find(' '));
   ++world_.runs[request];
-  world_.record.Line("backend: " + id_ + " runs " + request);
+  if (!world_.quiet_record) {
+    world_.record.Line("backend: " + id_ + " runs " + request);
+  }
   const int incarnation = incarnation_;
   world_.loop.After(15 + Below(20), [this, id, request, incarnation] {
     if (incarnation != incarnation_ || !alive_) return;
@@ -1112,7 +1129,7 @@
   packet.seq = seq_;
   packet.ack_number = peer_;
   packet.data = request_ + " GET";
-  if (next == 200) {
+  if (next == 200 && !world_.quiet_record) {
     world_.record.Line("client: sends " + request_ + " on port " +
                        std::to_string(port_));
   }
@@ -1173,8 +1190,10 @@
       ack.seq = seq_;
       ack.ack_number = peer_;
       Send(ack);
-      world_.record.Line("client: " + request_ + " is answered");
-      if (packet.fin) {
+      if (!world_.quiet_record) {
+        world_.record.Line("client: " + request_ + " is answered");
+      }
+      if (packet.fin || fresh) {
         Packet fin;
         fin.ack = fin.fin = true;
         fin.seq = seq_;
@@ -1283,6 +1302,104 @@
   return world.Finish("FLOW");
 }
 
+/**
+ * A heartbeat of another writer, with a field of another type, reaches an
+ * agent. Later its backend leaves as planned.
+ */
+int RunForeignHeartbeat(World& world) {
+  world.Prepare(3, std::vector<std::string>(4, "feeds"));
+  world.WriteConfig(1, {{world.layout.Route(0), "feeds"}});
+  world.AddClients(40, world.layout.Route(0), 500);
+  for (size_t i = 0; i < world.clients.size(); i += 2) {
+    world.clients[i]->fresh = true;
+  }
+  world.judge_from = kTrafficBegins;
+  const auto agent = static_cast<int>(Below(4));
+  if (world.trouble) {
+    world.loop.At(16000, [&world, agent] {
+      const Json body = {
+          {"service", "feeds"},
+          {"address", world.layout.Agent(agent, kApp).ToString()},
+          {"zone", 1},
+          {"version", "v1"},
+          {"capacity", 3},
+          {"state", "ready"},
+          {"slowStartMs", 0},
+          {"seq", 1},
+          {"born", world.backends[static_cast<size_t>(agent)]->born() + 15000}};
+      world.record.Line("another writer: heartbeat i-other to agent-" +
+                        std::to_string(agent) + ": " + body.dump());
+      HttpCall(world.loop, world.layout.Agent(agent, kControl), "POST",
+               "/v1/instances/i-other/heartbeat", body.dump(), 1000,
+               [&world](int status, const std::string& answer) {
+                 world.record.Line("another writer: answer " +
+                                   std::to_string(status) + " " + answer);
+               });
+    });
+  }
+  world.loop.At(22000, [&world, agent] {
+    world.backends[static_cast<size_t>(agent)]->Drain();
+  });
+  world.loop.At(30000, [&world] { world.loop.Stop(); });
+  world.loop.Run();
+  return world.Finish("DRAIN");
+}
+
+/**
+ * Configurations in quick succession add routes, clients open flows on them at
+ * once, and balancers are stopped and started in turn.
+ */
+int RunNewRoutes(World& world) {
+  world.hash_mod = getenv("STEADY") == nullptr;
+  world.Prepare(6, std::vector<std::string>(4, "feeds"));
+  std::vector<std::pair<Address, std::string>> routes = {
+      {world.layout.Route(0), "feeds"}};
+  world.WriteConfig(1, routes);
+  world.AddClients(10, world.layout.Route(0), 500);
+  world.judge_from = kTrafficBegins;
+  world.quiet_record = true;
+  // Three storms of configurations, 4 s each, a change each 0.33 s.
+  int64_t version = 1;
+  for (int storm = 0; storm < 3; ++storm) {
+    for (int i = 0; i < 12; ++i) {
+      world.loop.At(14000 + storm * 9000 + i * 330, [&] {
+        version += 1 + Below(3);
+        const Address route = world.layout.Route(static_cast<int>(routes.size()));
+        routes.push_back({route, "feeds"});
+        world.WriteConfig(version, routes);
+        for (int c = 0; c < 12; ++c) {
+          world.clients.push_back(std::make_unique<Client>(
+              world, static_cast<int>(world.clients.size()), route));
+          world.clients.back()->pause = 150;
+          world.clients.back()->Start(Below(200));
+          Client* client = world.clients.back().get();
+          world.loop.After(3000, [client] { client->paused = true; });
+        }
+      });
+    }
+  }
+  std::function<void(const std::string&)> await_end =
+      [&](const std::string& process) {
+        if (world.Running(process)) {
+          world.loop.After(5, [&, process] { await_end(process); });
+          return;
+        }
+        world.loop.After(500, [&, process] { world.StartProcess(process); });
+      };
+  if (world.trouble) {
+    for (int i = 0; i < 6; ++i) {
+      const std::string process = "balancer-" + std::to_string(i);
+      world.loop.At(12500 + i * 4500, [&, process] {
+        world.Signal(process, SIGTERM);
+        await_end(process);
+      });
+    }
+  }
+  world.loop.At(42000, [&world] { world.loop.Stop(); });
+  world.loop.Run();
+  return world.Finish("FLOW");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -1301,6 +1418,8 @@
   const std::map<std::string, int (*)(World&)> cases = {
       {"revoked-entries", RunRevoked},
       {"agent-restarts", RunAgentRestarts},
+      {"foreign-heartbeat", RunForeignHeartbeat},
+      {"new-routes", RunNewRoutes},
   };
   const auto it = cases.find(argv[1]);
   if (it == cases.end()) {
