--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -389,8 +389,13 @@
   void Drain();
   Millis drain_acknowledged() const { return drain_acknowledged_; }
   int64_t born() const { return born_; }
+  /** Cold for so long after a start; says so in its heartbeats. */
+  Millis cold_for = 0;
+  /** New flows while it is cold, for FAILBACK. */
+  std::deque<Millis> cold_flows;
 
  private:
+  Millis ColdLeft() const;
   struct Flow {
     uint32_t client_seq = 0;  // Of the SYN.
     uint32_t own_seq = 0;     // Of the SYN+ACK.
@@ -415,6 +420,7 @@
   int incarnation_ = 0;
   std::string id_;
   int64_t born_ = 0;
+  Millis started_ = 0;
   int64_t seq_ = 0;
   std::map<FlowId, Flow> flows_;
   std::set<FlowId> ended_;
@@ -524,6 +530,11 @@
   /** Called when a client gets a reset that no backend sent. */
   void OnReset(const FlowId& flow, const Address& from, uint32_t seq);
   std::string NameOf(const Address& from) const;
+  /** Counts new flows of a cold backend in any span of a second. */
+  void OnColdFlow(Backend& backend, const FlowId& flow);
+  double warmup_per_s = 0;
+  Millis slow_start_ms = 0;
+  size_t most_cold_flows = 0;
   void Setup(const std::string& process_name, const std::string& role,
              const std::string& ip, const Address& store_address,
              const std::string& extra, const std::string& listen);
@@ -680,6 +691,10 @@
     services.push_back({{"name", service},
                         {"healthCheck", "/healthz"},
                         {"maxConnections", 2000}});
+    if (warmup_per_s > 0) {
+      services.back()["slowStartS"] = static_cast<double>(slow_start_ms) / 1000;
+      services.back()["warmupPerS"] = warmup_per_s;
+    }
   }
   store.WriteByOperator("op/config",
                         Json{{"version", version},
@@ -802,6 +817,22 @@
   }
 }
 
+void World::OnColdFlow(Backend& backend, const FlowId& flow) {
+  // slowStartOver and slowStartSlack of the sites with this rule.
+  const double bound = warmup_per_s * 1.5 + 5;
+  backend.cold_flows.push_back(loop.Now());
+  while (loop.Now() - backend.cold_flows.front() >= 1000) {
+    backend.cold_flows.pop_front();
+  }
+  most_cold_flows = std::max(most_cold_flows, backend.cold_flows.size());
+  record.Line("backend: " + backend.id() + " is cold and gets the new flow " +
+              flow.ToString());
+  if (static_cast<double>(backend.cold_flows.size()) <= bound) return;
+  Violated("FAILBACK: " + std::to_string(backend.cold_flows.size()) +
+           " new flows within a second at the cold backend " + backend.id() +
+           "; the bound is " + std::to_string(bound));
+}
+
 std::string World::NameOf(const Address& from) const {
   for (int i = 0; i < layout.balancers; ++i) {
     if (layout.Balancer(i, 0).ip == from.ip) {
@@ -878,6 +909,8 @@
   flows_.clear();
   ended_.clear();
   seq_ = 0;
+  started_ = world_.loop.Now();
+  cold_flows.clear();
   char text[32];
   snprintf(text, sizeof(text), "i-%08x",
            static_cast<unsigned>(Random()() & 0xffffffff));
@@ -890,6 +923,10 @@
   Heartbeat();
 }
 
+Millis Backend::ColdLeft() const {
+  return std::max<Millis>(0, cold_for - (world_.loop.Now() - started_));
+}
+
 void Backend::Drain() {
   draining_ = true;
   world_.record.Line("backend: " + id_ + " is draining");
@@ -905,7 +942,7 @@
       {"version", "v1"},
       {"capacity", 3},
       {"state", draining_ ? "draining" : "ready"},
-      {"slowStartMs", 0},
+      {"slowStartMs", ColdLeft()},
       {"seq", ++seq_},
       {"born", born_}};
   const int incarnation = incarnation_;
@@ -951,6 +988,9 @@
       flow.acknowledged = flow.own_seq + 1;
       flows_[id] = flow;
       ended_.erase(id);
+      if (ColdLeft() > 0) {
+        world_.OnColdFlow(*this, id);
+      }
       if (drain_acknowledged_ >= 0 &&
           world_.loop.Now() > drain_acknowledged_ + kDrainTimeoutMs) {
         world_.Violated("DRAIN: backend " + id_ + " gets the new flow " +
@@ -1345,6 +1385,44 @@
   return world.Finish("DRAIN");
 }
 
+/** The agent of a cold backend is restarted as planned. */
+int RunColdRestart(World& world) {
+  world.warmup_per_s = 2;
+  world.slow_start_ms = 12000;
+  world.quiet_record = true;
+  const char* n = getenv("BALANCERS");
+  world.Prepare(n ? atoi(n) : 6, std::vector<std::string>(4, "feeds"));
+  world.WriteConfig(1, {{world.layout.Route(0), "feeds"}});
+  world.AddClients(90, world.layout.Route(0), 300);
+  for (auto& client : world.clients) client->fresh = true;
+  world.judge_from = kTrafficBegins;
+  std::function<void(const std::string&)> await_end =
+      [&](const std::string& process) {
+        if (world.Running(process)) {
+          world.loop.After(5, [&, process] { await_end(process); });
+          return;
+        }
+        world.loop.After(500, [&, process] { world.StartProcess(process); });
+      };
+  for (int round = 0; round < 2; ++round) {
+    world.loop.At(14000 + round * 14000, [&] {
+      world.backends[0]->cold_for = world.slow_start_ms;
+      world.backends[0]->Start();
+    });
+    if (!world.trouble) continue;
+    for (int i = 0; i < 3; ++i) {
+      world.loop.At(15000 + round * 14000 + i * 3500 + Below(500), [&] {
+        world.Signal("agent-0", SIGTERM);
+        await_end("agent-0");
+      });
+    }
+  }
+  world.loop.At(42000, [&world] { world.loop.Stop(); });
+  world.loop.Run();
+  printf("most cold flows in a second: %zu\n", world.most_cold_flows);
+  return world.Finish("FAILBACK");
+}
+
 /**
  * Configurations in quick succession add routes, clients open flows on them at
  * once, and balancers are stopped and started in turn.
@@ -1420,6 +1498,7 @@
       {"agent-restarts", RunAgentRestarts},
       {"foreign-heartbeat", RunForeignHeartbeat},
       {"new-routes", RunNewRoutes},
+      {"cold-restart", RunColdRestart},
   };
   const auto it = cases.find(argv[1]);
   if (it == cases.end()) {
