--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++17 -O2 -Wall -Wextra -o target/review/world review/standins/main.cc
+g++ -std=c++17 -O2 -Wall -Wextra -o target/review/world review/standins/main.cpp
--- a/review/standins/main.cc
+++ b/review/standins/main.cpp
@@ -20,7 +20,7 @@
 #include <set>
 #include <sstream>
 
-#include "world.h"
+#include "world.hpp"
 
 using Json = nlohmann::json;
 
