--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -379,6 +379,13 @@
  public:
   Backend(World& world, int index);
   void Start();
+  /** Ends without a word, as a machine that loses power. */
+  void Crash() {
+    alive_ = false;
+    ++incarnation_;
+    flows_.clear();
+    ended_.clear();
+  }
   bool alive() const { return alive_; }
   /** Whether the backend has the end of the flow's handshake. */
   bool HoldsOpen(const FlowId& flow) const {
@@ -504,6 +511,8 @@
   int64_t resets_before = 0;
   /** Leaves single requests out of the record. */
   bool quiet_record = false;
+  /** A request takes so long, and up to twice as long. */
+  Millis work_ms = 15;
   /** "mod" instead of "steady". */
   bool hash_mod = false;
 
@@ -1029,7 +1038,8 @@
     world_.record.Line("backend: " + id_ + " runs " + request);
   }
   const int incarnation = incarnation_;
-  world_.loop.After(15 + Below(20), [this, id, request, incarnation] {
+  const Millis work = world_.work_ms + Below(world_.work_ms);
+  world_.loop.After(work, [this, id, request, incarnation] {
     if (incarnation != incarnation_ || !alive_) return;
     const auto found = flows_.find(id);
     if (found == flows_.end()) return;
@@ -1362,6 +1372,58 @@
   return world.Finish("DRAIN");
 }
 
+/**
+ * Backends end for good together with their machines, and their addresses go to
+ * another service on new machines. The 16 bits by which the system's processes
+ * tell services apart are equal for the two names.
+ */
+int RunReusedAddress(World& world) {
+  const std::string orders = "orders";
+  // OTHER_NAME=reports-1 is a name with other bits; the rule holds with it.
+  const char* other = getenv("OTHER_NAME");
+  const std::string archive = other == nullptr ? "archive-232" : other;
+  constexpr int kOrders = 8;
+  constexpr Millis kReuseAfterMs = 2000;
+  world.quiet_record = true;
+  std::vector<std::string> services(kOrders, orders);
+  services.resize(kOrders + 3, archive);
+  world.Prepare(6, services);
+  world.WriteConfig(1, {{world.layout.Route(0), orders},
+                        {world.layout.Route(1), archive}});
+  // Nine tenths of the slots that are left are busy.
+  world.work_ms = 35;
+  world.AddClients(120, world.layout.Route(0), 300);
+  world.AddClients(20, world.layout.Route(1), 400);
+  for (auto& client : world.clients) client->fresh = true;
+  world.judge_from = kTrafficBegins;
+  // Twice two of the eight backends: a share of 0.25.
+  for (int round = 0; round < 2 && world.trouble; ++round) {
+    for (int i = 2 * round; i < 2 * round + 2; ++i) {
+      const Millis gone = 16000 + round * 12000;
+      const std::string agent = "agent-" + std::to_string(i);
+      world.loop.At(gone, [&world, agent, i] {
+        world.record.Line("machine: the one of " + agent + " is gone");
+        world.Signal(agent, SIGKILL);
+        world.backends[static_cast<size_t>(i)]->Crash();
+      });
+      world.loop.At(gone + kReuseAfterMs, [&world, agent, i, archive] {
+        world.Running(agent);
+        world.layout.services[static_cast<size_t>(i)] = archive;
+        world.record.Line("machine: a new one at that address, service " +
+                          archive);
+        world.SetupAgent(i);
+        world.StartProcess(agent);
+      });
+      world.loop.At(gone + kReuseAfterMs + 1000 + Below(400), [&world, i] {
+        world.backends[static_cast<size_t>(i)]->Start();
+      });
+    }
+  }
+  world.loop.At(40000, [&world] { world.loop.Stop(); });
+  world.loop.Run();
+  return world.Finish("ROUTE");
+}
+
 /**
  * Configurations in quick succession add routes, clients open flows on them at
  * once, and balancers are stopped and started in turn.
@@ -1439,6 +1501,7 @@
       {"agent-restarts", RunAgentRestarts},
       {"foreign-heartbeat", RunForeignHeartbeat},
       {"new-routes", RunNewRoutes},
+      {"reused-address", RunReusedAddress},
   };
   const auto it = cases.find(argv[1]);
   if (it == cases.end()) {
