--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -559,7 +559,8 @@
     for (const int type : {SOCK_DGRAM, SOCK_STREAM}) {
       const int fd = socket(AF_INET, type, 0);
       const sockaddr_in address =
-          Address{0, static_cast<uint16_t>(base + offset)}.ToSockaddr();
+          Address{Loopback(0, 0, 1), static_cast<uint16_t>(base + offset)}
+              .ToSockaddr();
       const bool bound = bind(fd, reinterpret_cast<const sockaddr*>(&address),
                               sizeof(address)) == 0;
       close(fd);
@@ -1388,8 +1389,8 @@
   std::vector<std::string> services(kOrders, orders);
   services.resize(kOrders + 3, archive);
   world.Prepare(6, services);
-  world.WriteConfig(1, {{world.layout.Route(0), orders},
-                        {world.layout.Route(1), archive}});
+  world.WriteConfig(
+      1, {{world.layout.Route(0), orders}, {world.layout.Route(1), archive}});
   // Nine tenths of the slots that are left are busy.
   world.work_ms = 35;
   world.AddClients(120, world.layout.Route(0), 300);
