A simulated read of the store returns its configuration too

Cause: the simulated world, not the product. SteeringWorld::Balancer::ReadCopy told the balancer of a complete read but withheld the configuration that the store held at that time.

A real balancer cannot be told that: its watch covers the configuration and the entries, and ReplicaFollower reports a read only when its replica has the store's revision of that time. A new case of registry_test shows it, with and without a watcher that answers; it passed on the code as it was.

The check is as strict as before.

--- a/packages/registry/tests/watcher_test.cc
+++ b/packages/registry/tests/watcher_test.cc
@@ -403,6 +403,28 @@
   }
 }
 
+// Guards against evidence of a missing route that rests on an older
+// configuration than the read that it names.
+TEST_CASE("A refresh is reported with the configuration that the store held") {
+  Fleet fleet(21);
+  Fleet::Member& member = *fleet.Followers().front();
+  const bool watcher_answers = GENERATE(true, false);
+  if (!watcher_answers) {
+    for (auto* watcher : fleet.Watchers()) watcher->cut_off = true;
+  }
+  for (int i = 0; i < 10; ++i) {
+    const std::string newest = "c" + std::to_string(i + 1);
+    fleet.Configure(newest);
+    const TimePoint began = fleet.scheduler.Now();
+    for (int ms = 0; ms < 300 && member.contents.synchronized < began; ++ms) {
+      member.follower.Refresh();
+      fleet.scheduler.RunFor(milliseconds(1));
+    }
+    REQUIRE(member.contents.synchronized >= began);
+    CHECK(member.contents.configuration == newest);
+  }
+}
+
 // Guards against a follower that takes an old position for a sign that it has
 // all changes.
 TEST_CASE("A watcher that lags behind a balancer confirms nothing") {
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -57,12 +57,13 @@
   kNoAnswer,  // It has no power, or the network does not reach it.
 };
 
-/** The store's entries at one time, as a peer knows them. */
+/** The store's contents at one time, as a peer knows them. */
 struct StoreCopy {
   TimePoint at{};
   /** Store revisions of the listed entries. */
   std::map<size_t, int64_t> listed;
   int64_t revision = 0;
+  RouteTable routes;
 };
 
 /**
@@ -154,9 +155,11 @@
   VirtualProcess& balancer_process(size_t i);
   VirtualProcess& agent_process(size_t i);
   bool listed(size_t i) const { return listed_.count(i) != 0; }
-  /** Returns the store's entries as they are now. */
-  StoreCopy CopyStore() const { return {scheduler.Now(), listed_, revision_}; }
-  /** Lets a balancer read all entries of the store. */
+  /** Returns the store's contents as they are now. */
+  StoreCopy CopyStore() const {
+    return {scheduler.Now(), listed_, revision_, NewestRoutes()};
+  }
+  /** Lets a balancer read all contents of the store. */
   void Synchronize(size_t i);
 
   void FromClient(std::string packet);
@@ -230,7 +233,7 @@
   std::set<size_t> stale_balancers;
   /** Balancers that the routers do not use. */
   std::set<size_t> out_of_rotation;
-  /** If set, stale balancers read the directory from this copy of a peer. */
+  /** If set, stale balancers read the store from this copy of a peer. */
   std::optional<StoreCopy> peer_copy;
   /** Configurations that balancers start with, if not the newest. */
   std::map<size_t, RouteTable> routes_at_start;
--- a/tests/support/steering_world_processes.cc
+++ b/tests/support/steering_world_processes.cc
@@ -143,6 +143,7 @@
         StoreRevision(entry->second));
     flows.OnAgentListed(now, AgentAddress(target));
   }
+  flows.Apply(now, copy.routes);
   flows.OnDirectoryRead(now, copy.at);
 }
 
--- a/tests/support/steering_world_processes.h
+++ b/tests/support/steering_world_processes.h
@@ -44,7 +44,7 @@
   bool ProbeInstance(const Endpoint& agent) override;
   /** Copies the store's entries into the directory. */
   void ReadDirectory();
-  /** Applies a complete read of the entries that a peer's copy has. */
+  /** Applies a complete read of the contents that a peer's copy has. */
   void ReadCopy(const StoreCopy& copy);
   void RunTimers();
 
