A SYN that may have waited unread is not refused before its copy arrives

Callers saw an open flow reset, reason no-route (config=3, no read named), or another refusal, although a living target held it.

Cause: a refusal took the moment at which the balancer read the SYN for the moment of its arrival. A balancer that does not run for 200 ms or more finds the SYN in its socket, while the client has sent a copy that another balancer has placed. The refusal of a SYN without a route carried no evidence at all.

The hypothesis that the balancer lacks the newest version alone is not enough: a first SYN that is read at once has no copy that another balancer could have placed.

The fix: SynCopies records which copies came here and since when the client can have sent its SYN, counted from the last time at which all sockets had been read to the end. FlowResetter::Refuse takes AllCopiesSeen, which only a complete set of due copies yields. A loop that is idle polls every 100 ms, so that a new SYN is known to be new; a refusal at once stays a refusal at once. After a hold-up the first copy, 200 ms later, shows the age. A SYN with another sequence number from the same port no longer inherits the copies of the former one.

--- a/packages/admission/include/admission/syn_patience.h
+++ b/packages/admission/include/admission/syn_patience.h
@@ -36,16 +36,6 @@
     if (copies == 0) return Duration::zero();
     return copies == 1 ? kFirstCopy : kSecondCopy;
   }
-  /**
-   * Whether the client has just sent a copy that may still arrive.
-   * @param waited  time since the flow's first SYN arrived
-   * @param copies  number of copies that have arrived
-   */
-  static bool CopyOnItsWay(Duration waited, uint32_t copies) {
-    const bool first = copies < 1 && waited >= kFirstCopy;
-    const bool second = copies < 2 && waited >= kSecondCopy;
-    return (first || second) && !ProbablyAbandoned(waited, copies);
-  }
   /**
    * Whether a copy is overdue. It may also be lost, so the SYN is not dropped.
    * @param waited  time since the flow's first SYN arrived
--- a/packages/evidence/include/evidence/flow_resetter.h
+++ b/packages/evidence/include/evidence/flow_resetter.h
@@ -6,6 +6,7 @@
 
 #include "core/event_log.h"
 #include "evidence/reset_evidence.h"
+#include "evidence/syn_copies.h"
 #include "flow_model/packet.h"
 
 namespace sesamesaddle {
@@ -43,10 +44,12 @@
   void Reset(const Flow& flow, uint32_t acknowledged,
              const ResetEvidence& evidence, int64_t version);
   /**
-   * Refuses a flow whose client has sent nothing but its SYN. Its sequence
-   * number is outside of the window of an open flow, whose client ignores it.
+   * Refuses a flow whose client has sent nothing but its SYN. The sequence
+   * number of the reset is outside of the window of an open flow, but clients
+   * may accept it there.
    */
-  void Refuse(const Flow& flow, Refusal refusal, int64_t version);
+  void Refuse(const Flow& flow, Refusal refusal, const AllCopiesSeen& evidence,
+              int64_t version);
 
  private:
   const PacketCodec& codec_;
--- a/packages/evidence/src/flow_resetter.cc
+++ b/packages/evidence/src/flow_resetter.cc
@@ -36,11 +36,15 @@
   output_.ToClient(flow.caller, codec_.EncodeReset(flow, acknowledged));
 }
 
-void FlowResetter::Refuse(const Flow& flow, Refusal refusal, int64_t version) {
-  LogLine(log_, EventKind::kFlowReset, kLogComponent, "flow-reset")
-      .Add("flow", flow)
-      .Add("reason", NameOf(refusal))
-      .Add("config", version);
+void FlowResetter::Refuse(const Flow& flow, Refusal refusal,
+                          const AllCopiesSeen& evidence, int64_t version) {
+  {
+    LogLine line(log_, EventKind::kFlowReset, kLogComponent, "flow-reset");
+    line.Add("flow", flow)
+        .Add("reason", NameOf(refusal))
+        .Add("config", version);
+    evidence.Describe(line);
+  }
   output_.ToClient(flow.caller, codec_.EncodeReset(flow, kOutsideWindow));
 }
 
--- a/packages/net/include/net/event_loop.h
+++ b/packages/net/include/net/event_loop.h
@@ -57,6 +57,8 @@
   void SetPollObserver(PollObserver observer) {
     poll_observer_ = std::move(observer);
   }
+  /** Sets the longest time for which a poll waits; 1 s at first. */
+  void SetMaxPoll(std::chrono::milliseconds max_poll) { max_poll_ = max_poll; }
   /** Calls `observer` at the end of each hold-up that lag() counts. */
   void SetLagObserver(LoopLag::Observer observer) {
     lag_.SetObserver(std::move(observer));
@@ -92,6 +94,7 @@
   std::map<uint64_t, TimerEntry> timers_;
   std::multimap<TimePoint, uint64_t> keys_by_due_time_;
   PollObserver poll_observer_;
+  std::chrono::milliseconds max_poll_ = std::chrono::seconds(1);
   LoopLag lag_;
   uint64_t next_key_ = 1;
   bool stopped_ = false;
--- a/packages/net/src/event_loop.cc
+++ b/packages/net/src/event_loop.cc
@@ -102,12 +102,11 @@
 }
 
 std::chrono::milliseconds EventLoop::PollTimeout(TimePoint now) const {
-  constexpr std::chrono::milliseconds kMaxTimeout = std::chrono::seconds(1);
-  if (keys_by_due_time_.empty()) return kMaxTimeout;
+  if (keys_by_due_time_.empty()) return max_poll_;
   const Duration remaining = keys_by_due_time_.begin()->first - now;
   // Rounds up, so that the loop does not spin until the timer is due.
   return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(remaining),
-                    std::chrono::milliseconds::zero(), kMaxTimeout);
+                    std::chrono::milliseconds::zero(), max_poll_);
 }
 
 }  // namespace sesamesaddle
--- a/packages/net/tests/net_test.cc
+++ b/packages/net/tests/net_test.cc
@@ -119,6 +119,20 @@
   TimePoint now_{};
 };
 
+TEST_CASE("An idle loop polls again after the longest time of a poll") {
+  constexpr auto kMaxPoll = std::chrono::milliseconds(10);
+  constexpr int kPolls = 5;
+  const SteadyClock clock;
+  EventLoop loop(clock);
+  loop.SetMaxPoll(kMaxPoll);
+  int polls = 0;
+  loop.SetPollObserver([&](TimePoint) { ++polls; });
+  const auto end =
+      loop.After((kPolls + 1) * kMaxPoll, [&loop] { loop.Stop(); });
+  loop.Run();
+  CHECK(polls >= kPolls);
+}
+
 TEST_CASE("The poll observer gets the time before the poll, ahead of timers") {
   constexpr Duration kHandling = std::chrono::milliseconds(7);
   ManualClock clock;
--- a/packages/placement/include/placement/target_directory.h
+++ b/packages/placement/include/placement/target_directory.h
@@ -143,6 +143,8 @@
    * Agents are judged silent only by time that passed in this way.
    */
   void OnAllRead(TimePoint as_of) { attention_.OnAllRead(as_of); }
+  /** Returns the time up to which everything that arrived has been handled. */
+  TimePoint all_read_as_of() const { return attention_.as_of(); }
 
   /** Adds or updates a record of the store; older revisions are ignored. */
   void Put(TimePoint now, const std::string& key,
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -18,6 +18,7 @@
 #include "core/time.h"
 #include "evidence/flow_resetter.h"
 #include "evidence/reset_evidence.h"
+#include "evidence/syn_copies.h"
 #include "flow_location/flow_locator.h"
 #include "flow_location/route_history.h"
 #include "flow_location/unrouted_flows.h"
@@ -241,8 +242,8 @@
     bool retransmitting = false;
     uint32_t acknowledged = 0;
     uint32_t syn_sequence = 0;
-    /** Number of copies of the SYN that have arrived here. */
-    uint32_t copies = 0;
+    /** Copies of the SYN that arrived here. */
+    SynCopies copies;
     /**
      * Sequence number after the last byte that the client sent, and the time
      * when it first sent that byte.
@@ -258,19 +259,17 @@
     std::string packet;
     /** Sequence number of the SYN. */
     uint32_t sequence = 0;
-    /** Number of copies that the client has sent. */
-    uint32_t copies = 0;
+    /**
+     * Copies that arrived here. Another balancer may have sent the others to a
+     * target that takes the flow.
+     */
+    SynCopies copies;
     std::vector<Endpoint> refused;
     TimePoint arrived{};
     /** Time at which the client sent its first SYN, as far as known. */
     TimePoint sent{};
     TimePoint retry_at{};
     bool waiting_for_room = false;
-    /**
-     * The client's first SYN came to this process. If not, another balancer may
-     * have sent an earlier copy to a target that takes the flow.
-     */
-    bool seen_first = false;
   };
   using FlowMap = std::unordered_map<Flow, FlowEntry>;
 
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -67,7 +67,8 @@
   locator_.Cancel(flow);
   const auto known = flows_.find(flow);
   if (known != flows_.end() && known->second.syn_sequence == header.sequence) {
-    known->second.copies = std::max(known->second.copies, header.acknowledged);
+    known->second.copies.OnCopy(header.acknowledged,
+                                directory_.all_read_as_of());
     AgentView* agent = directory_.Find(known->second.agent);
     if (known->second.accepted && agent != nullptr &&
         !directory_.Silent(now, *agent)) {
@@ -80,9 +81,10 @@
     flows_.erase(known);
   }
   PendingSyn& pending = pending_syns_[flow];
+  if (pending.sequence != header.sequence) pending = PendingSyn();
   if (pending.packet.empty()) {
     pending.arrived = now;
-    pending.seen_first = header.acknowledged == 0;
+    if (known != flows_.end()) pending.copies = known->second.copies;
     // Without deadlines a wait counts from the arrival at this process.
     pending.sent = admission_.order == QueueOrder::kDeadline
                        ? now - SynPatience::MinWait(header.acknowledged)
@@ -90,7 +92,7 @@
   }
   pending.packet = std::string(packet);
   pending.sequence = header.sequence;
-  pending.copies = header.acknowledged;
+  pending.copies.OnCopy(header.acknowledged, directory_.all_read_as_of());
   Place(now, flow, *routes_.Find(flow.service), pending);
 }
 
@@ -168,7 +170,7 @@
   entry.accepted = false;
   entry.runs_once = route.kind == RequestKind::kRunsOnce;
   entry.syn_sequence = pending.sequence;
-  entry.copies = std::max(entry.copies, pending.copies);
+  entry.copies = pending.copies;
   entry.last_packet = now;
   NotifyBeforeSyn(now, chosen);
   ++chosen.placed_since_report;
@@ -355,8 +357,8 @@
   }
   const bool open = IsOpen(flow);
   const auto entry = flows_.find(flow);
-  const uint32_t copies = std::max(
-      header.acknowledged, entry == flows_.end() ? 0 : entry->second.copies);
+  SynCopies copies;
+  if (entry != flows_.end()) copies = entry->second.copies;
   ForgetTry(flow, agent->agent);
   if (open) return;
   PendingSyn& pending = pending_syns_[flow];
@@ -364,13 +366,11 @@
     // The agent had queued the SYN for a while.
     pending.arrived = now - SynTimes::Unpack(header.echo).waited;
     pending.sent = pending.arrived;
-    pending.seen_first = header.acknowledged == 0;
+    pending.copies = copies;
     pending.packet.assign(packet);
     pending.sequence = header.sequence;
-    pending.copies = copies;
     codec_.SetHop(pending.packet.data(), HopTag(), 0);
   }
-  pending.copies = std::max(pending.copies, copies);
   if (refused) pending.refused.push_back(agent->agent);
   if (admission_.order == QueueOrder::kDeadline &&
       now - pending.sent > route.target_latency) {
--- a/packages/steering/src/flow_balancer_admission.cc
+++ b/packages/steering/src/flow_balancer_admission.cc
@@ -29,7 +29,7 @@
       .Add("route", route.name)
       .Add("reason", "attempt-over")
       .Add("waited", waited)
-      .Add("copies", pending.copies);
+      .Add("copies", pending.copies.highest());
   pending_syns_.erase(flow);
   return true;
 }
@@ -38,15 +38,15 @@
   const auto it = pending_syns_.find(flow);
   PendingSyn& pending = it->second;
   const Duration waited = now - pending.sent;
-  if (SynPatience::CopyOnItsWay(waited, pending.copies)) {
-    // Shows whether the client still sends its packets here.
+  const auto evidence = AllCopiesSeen::Check(now, pending.copies);
+  if (!evidence && pending.copies.has_first() &&
+      !SynPatience::ProbablyAbandoned(waited, pending.copies.highest())) {
+    // The next copy shows whether the client still sends its packets here.
     pending.retry_at = now + kPlacementRetryPeriod;
     return;
   }
   // A copy that is overdue may have opened the flow through another balancer.
-  const bool all_seen = pending.seen_first &&
-                        !SynPatience::ProbablyAbandoned(waited, pending.copies);
-  if (all_seen) resetter_.Refuse(flow, refusal, routes_.version);
+  if (evidence) resetter_.Refuse(flow, refusal, *evidence, routes_.version);
   pending_syns_.erase(it);
 }
 
@@ -84,8 +84,8 @@
     if (now < pending.retry_at) continue;
     Urgency urgency;
     urgency.sent = pending.sent;
-    urgency.abandoned =
-        SynPatience::ProbablyAbandoned(now - pending.sent, pending.copies);
+    urgency.abandoned = SynPatience::ProbablyAbandoned(
+        now - pending.sent, pending.copies.highest());
     if (const Route* route = routes_.Find(flow.service)) {
       urgency.priority = route->priority;
       urgency.late = now - pending.sent > route->target_latency;
--- a/packages/steering/src/flow_balancer_routes.cc
+++ b/packages/steering/src/flow_balancer_routes.cc
@@ -17,11 +17,15 @@
     output_.RefreshDirectory();
     return;
   }
-  // A configuration that may be out of date can lack the newest routes, and an
-  // earlier copy may have opened the flow through a balancer that has them.
-  if (!store_current_ || header.acknowledged != 0) return;
+  // A configuration that may be out of date can lack the newest routes, and a
+  // copy may have opened the flow through a balancer that has them.
+  if (!store_current_) return;
+  SynCopies copies;
+  copies.OnCopy(header.acknowledged, directory_.all_read_as_of());
+  const auto evidence = AllCopiesSeen::Check(now, copies);
+  if (!evidence) return;
   ++counters_.resets_no_route;
-  resetter_.Refuse(flow, Refusal::kNoRoute, routes_.version);
+  resetter_.Refuse(flow, Refusal::kNoRoute, *evidence, routes_.version);
 }
 
 void FlowBalancer::ForwardRouted(TimePoint now) {
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -18,6 +18,9 @@
 constexpr Duration kTickPeriod = std::chrono::milliseconds(10);
 // Interval of checks for expired targets, signals and progress of a stop.
 constexpr Duration kHousekeepingPeriod = std::chrono::milliseconds(200);
+// A SYN that is read in an idle loop has arrived within this time, well before
+// its client sends a copy.
+constexpr auto kMaxPoll = std::chrono::milliseconds(100);
 // The platform probes readiness twice a second and removes a process from the
 // rotation after two failures.
 constexpr Duration kRotationExitTime = std::chrono::milliseconds(1300);
@@ -127,6 +130,7 @@
       .Add("packets", settings_.packet_address)
       .Add("store", settings_.store)
       .Add("seeds", settings_.seeds.size());
+  deps_.loop.SetMaxPoll(kMaxPoll);
   deps_.loop.SetPollObserver([this](TimePoint poll_began) {
     if (client_socket_->drained() && agent_socket_->drained() &&
         control_socket_->drained()) {
--- a/tests/open_flows/known_orders_test.cc
+++ b/tests/open_flows/known_orders_test.cc
@@ -183,6 +183,31 @@
   CHECK(WrongResets(world) == "");
 }
 
+// Guards against taking a SYN that waited in a socket for one that has just
+// arrived.
+TEST_CASE("A SYN without a route that was read late resets no open flow") {
+  SteeringWorld world(2, 3, kSeed);
+  const size_t held_up = 0;
+  const size_t informed = 1;
+  const Endpoint new_route(0xc6120002, 443);
+  RouteTable newest = world.routes;
+  ++newest.version;
+  newest.routes[new_route] = newest.routes[SteeringWorld::RouteAddress()];
+  world.ConfigureBalancer(informed, newest);
+  VirtualFlowClient& client = world.AddClient(true, new_route);
+  client.deadline = seconds(8);
+  world.RunFor(milliseconds(500));
+  world.out_of_rotation = {informed};
+  world.balancer_process(held_up).HoldUp(milliseconds(300));
+  client.Request("first");
+  world.RunFor(milliseconds(100));
+  world.out_of_rotation = {held_up};
+  world.RunFor(client.deadline);
+  CHECK(client.results["first"].answered);
+  CHECK(client.results["first"].resets == 0);
+  CHECK(WrongResets(world) == "");
+}
+
 // Guards against a search that offers a flow's packets to other targets only.
 TEST_CASE("A search that lacks the holder's entry misdirects no flow") {
   OpenFlowWorld world(1, 4);
