A target that took a late copy of a SYN does not count as the flow's holder

Callers saw an open flow reset (target-silent, target-gone) when another target lost its power, one that never held the flow.

Cause: a balancer took the report that a target took a SYN for knowledge that the flow is open there. A copy of the SYN that arrives late, through a balancer that does not know the flow, is taken by a second target. A balancer that had found the flow by a search even dropped what it knew and placed the copy, as it did not know the sequence number of the SYN.

The new case of known_orders_test fails without the change in both of its forms (reason=target-silent), and passes with it.

The fix: a flow is known to be open at a target if the agent took its SYN and all due copies came to this balancer (AllCopiesSeen at the first data), or if the agent reported that it holds the flow. Where a copy may have gone elsewhere the agent is asked once, so that callers of a target that dies later are told as soon as before (dead_target_test, bounds unchanged). A SYN that precedes the data of a known open flow is a late copy and is dropped. A process that starts counts its sockets as read from the moment when they were opened.

--- a/packages/evidence/include/evidence/reset_evidence.h
+++ b/packages/evidence/include/evidence/reset_evidence.h
@@ -125,7 +125,7 @@
     bool unreachable = false;
     /** The agent announced that it restarts. */
     bool restarting = false;
-    /** The agent confirmed that its target took the flow. */
+    /** The flow is known to be open at the agent's target. */
     bool confirmed = false;
     /** The client repeats data that was not acknowledged. */
     bool retransmitted = false;
--- a/packages/evidence/src/reset_evidence.cc
+++ b/packages/evidence/src/reset_evidence.cc
@@ -60,8 +60,6 @@
 std::optional<InstanceSilent> InstanceSilent::Check(const Endpoint& agent,
                                                     const Facts& facts) {
   const bool silent = facts.unreachable && !facts.restarting;
-  // Without the agent's confirmation the flow may have opened at another
-  // target, by a copy of its SYN that came to another balancer.
   const bool waiting = facts.confirmed && facts.retransmitted;
   if (!silent || !waiting || facts.runs_once) return std::nullopt;
   return InstanceSilent(agent);
--- a/packages/flow_location/include/flow_location/flow_locator.h
+++ b/packages/flow_location/include/flow_location/flow_locator.h
@@ -2,6 +2,7 @@
 #define SESAMESADDLE_FLOW_LOCATION_FLOW_LOCATOR_H_
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -90,8 +91,6 @@
   static constexpr size_t kAgentsPerRound = DigestRounds::kAgentsPerRound;
   /** Maximum number of packets buffered per flow; later ones are dropped. */
   static constexpr size_t kMaxBufferedPackets = 16;
-  /** Maximum number of bytes that a client sends on one flow. */
-  static constexpr uint32_t kMaxClientBytes = 1U << 24;
   /** An unfinished search is dropped after this; the client retransmits. */
   static constexpr Duration kSearchTimeout = std::chrono::seconds(2);
   /**
@@ -118,6 +117,11 @@
   void Search(TimePoint now, const Flow& flow, const PacketHeader& header,
               std::string packet, const std::vector<Endpoint>& likely_holders,
               const std::vector<Endpoint>& ruled_out);
+  /**
+   * Returns the sequence number of the packet that started the search for the
+   * flow, or nothing if there is none.
+   */
+  std::optional<uint32_t> ClientSequenceOf(const Flow& flow) const;
   /**
    * Ends the search because the holder is found.
    * @return the buffered packets that were not offered to the holder
--- a/packages/flow_location/src/flow_locator.cc
+++ b/packages/flow_location/src/flow_locator.cc
@@ -211,7 +211,7 @@
   const auto it = denials_.find(flow);
   if (it == denials_.end()) return;
   // A later flow from the same port begins with another sequence number.
-  if (search.client_sequence - it->second.client_sequence < kMaxClientBytes) {
+  if (MayFollowSyn(search.client_sequence, it->second.client_sequence)) {
     search.ruled_out.insert(it->second.agents.begin(), it->second.agents.end());
   }
   denials_.erase(it);
@@ -221,7 +221,13 @@
                                  uint32_t syn_sequence) const {
   const auto it = searches_.find(flow);
   return it != searches_.end() &&
-         it->second.client_sequence - syn_sequence < kMaxClientBytes;
+         MayFollowSyn(it->second.client_sequence, syn_sequence);
+}
+
+std::optional<uint32_t> FlowLocator::ClientSequenceOf(const Flow& flow) const {
+  const auto it = searches_.find(flow);
+  if (it == searches_.end()) return std::nullopt;
+  return it->second.client_sequence;
 }
 
 void FlowLocator::Cancel(const Flow& flow) {
--- a/packages/flow_model/include/flow_model/packet.h
+++ b/packages/flow_model/include/flow_model/packet.h
@@ -65,6 +65,17 @@
   return static_cast<int32_t>(a - b) > 0;
 }
 
+/** Maximum number of bytes that a client sends on one flow. */
+constexpr uint32_t kMaxClientBytes = 1U << 24;
+
+/**
+ * Whether a client's packet with that sequence number may be of the flow that
+ * the SYN opened, and not of another one from the same port.
+ */
+inline bool MayFollowSyn(uint32_t sequence, uint32_t syn_sequence) {
+  return sequence - syn_sequence < kMaxClientBytes;
+}
+
 /** The header of one packet of a flow; the payload is opaque. */
 struct PacketHeader {
   Endpoint source;
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -229,8 +229,15 @@
  private:
   struct FlowEntry {
     Endpoint agent;
-    /** The agent has confirmed that its target took the flow. */
+    /** The agent has confirmed that its target took the SYN. */
     bool accepted = false;
+    /**
+     * No other target can have opened the flow: all copies of its SYN came to
+     * this process, or the agent has reported that its target holds the flow.
+     */
+    bool sole_holder = false;
+    /** The agent was asked whether its target holds the flow. */
+    bool holder_asked = false;
     /** The client has sent a packet after its SYN. */
     bool opened = false;
     /** The client has closed or reset it. */
@@ -242,6 +249,8 @@
     bool retransmitting = false;
     uint32_t acknowledged = 0;
     uint32_t syn_sequence = 0;
+    /** Sequence number of the client's latest packet after its SYN. */
+    std::optional<uint32_t> client_sequence;
     /** Copies of the SYN that arrived here. */
     SynCopies copies;
     /**
@@ -253,6 +262,9 @@
     TimePoint last_packet{};
     /** All agents that the SYN was sent to. */
     std::vector<Endpoint> tried;
+
+    /** Whether the flow is known to be open at the agent's target. */
+    bool Confirmed() const { return accepted && sole_holder; }
   };
   /** A SYN that no target has accepted yet. */
   struct PendingSyn {
@@ -277,6 +289,14 @@
              std::string_view packet);
   void OnData(TimePoint now, const Flow& flow, const PacketHeader& header,
               char* packet, size_t size);
+  /** Records a client's packet after its SYN. */
+  void RecordData(TimePoint now, const PacketHeader& header, FlowEntry& entry);
+  /**
+   * Asks the agent once whether its target holds the flow, unless that is
+   * known.
+   */
+  void ConfirmHolder(TimePoint now, const Flow& flow, FlowEntry& entry,
+                     AgentView& agent);
   /** Handles a SYN that an agent returned. */
   void OnSynReturned(TimePoint now, const Flow& flow, const Route& route,
                      const PacketHeader& header, AgentView* agent,
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -66,6 +66,11 @@
   // the new flow.
   locator_.Cancel(flow);
   const auto known = flows_.find(flow);
+  if (known != flows_.end() && known->second.opened &&
+      known->second.client_sequence &&
+      MayFollowSyn(*known->second.client_sequence, header.sequence)) {
+    return;  // A late copy: the flow is open.
+  }
   if (known != flows_.end() && known->second.syn_sequence == header.sequence) {
     known->second.copies.OnCopy(header.acknowledged,
                                 directory_.all_read_as_of());
@@ -76,7 +81,6 @@
       ForwardSyn(now, *agent, std::string(packet), 0, {});
       return;
     }
-    if (known->second.opened) return;
   } else if (known != flows_.end()) {
     flows_.erase(known);
   }
@@ -168,6 +172,7 @@
   if (!entry.placed_version) entry.placed_version = routes_.version;
   entry.tried.push_back(chosen.agent);
   entry.accepted = false;
+  entry.sole_holder = false;
   entry.runs_once = route.kind == RequestKind::kRunsOnce;
   entry.syn_sequence = pending.sequence;
   entry.copies = pending.copies;
@@ -208,10 +213,8 @@
     return;
   }
   FlowEntry& entry = it->second;
-  entry.opened = true;
-  entry.acknowledged = header.acknowledged;
-  entry.last_packet = now;
-  entry.ended = entry.ended || header.fin || header.reset;
+  const bool first = !entry.opened;
+  RecordData(now, header, entry);
   if (entry.tried.size() > 1) {
     const std::vector<Endpoint> tried = std::move(entry.tried);
     flows_.erase(it);
@@ -229,15 +232,36 @@
     flows_.erase(it);
     return;
   }
-  if (!entry.accepted && entry.retransmitting &&
+  if (!entry.Confirmed() && entry.retransmitting &&
       directory_.Unreachable(now, *agent)) {
     flows_.erase(it);
     StartSearch(now, flow, header, std::string_view(packet, size), {}, {});
     return;
   }
+  // The agent learns from the first packet that the flow is open.
+  if (!first) ConfirmHolder(now, flow, entry, *agent);
   Forward(now, *agent, packet, size);
 }
 
+void FlowBalancer::RecordData(TimePoint now, const PacketHeader& header,
+                              FlowEntry& entry) {
+  if (!entry.opened) {
+    entry.sole_holder = AllCopiesSeen::Check(now, entry.copies).has_value();
+  }
+  entry.opened = true;
+  entry.client_sequence = header.sequence;
+  entry.acknowledged = header.acknowledged;
+  entry.last_packet = now;
+  entry.ended = entry.ended || header.fin || header.reset;
+}
+
+void FlowBalancer::ConfirmHolder(TimePoint now, const Flow& flow,
+                                 FlowEntry& entry, AgentView& agent) {
+  if (entry.Confirmed() || entry.holder_asked || entry.ended) return;
+  entry.holder_asked = true;
+  QueryAgent(now, agent, flow);
+}
+
 void FlowBalancer::ForwardSyn(TimePoint now, AgentView& agent,
                               std::string packet, uint8_t priority,
                               SynTimes times) {
@@ -305,14 +329,17 @@
       .Add("flow", flow)
       .Add("target", agent.record.id)
       .Add("agent", agent.agent);
+  const auto client_sequence = locator_.ClientSequenceOf(flow);
   for (std::string& packet : locator_.CompleteSearch(flow, agent.agent)) {
     Forward(now, agent, packet.data(), packet.size());
   }
   pending_syns_.erase(flow);
   FlowEntry& entry = flows_[flow];
+  if (client_sequence) entry.client_sequence = client_sequence;
   const Route* route = routes_.Find(flow.service);
   entry.agent = agent.agent;
   entry.accepted = true;
+  entry.sole_holder = true;
   entry.opened = true;
   entry.runs_once = route == nullptr || route->kind == RequestKind::kRunsOnce;
   entry.last_packet = now;
--- a/packages/steering/src/flow_balancer_agents.cc
+++ b/packages/steering/src/flow_balancer_agents.cc
@@ -80,7 +80,7 @@
   const auto evidence = InstanceSilent::Check(
       agent.agent,
       {directory_.Unreachable(now, agent), directory_.Restarting(now, agent),
-       entry.accepted, entry.retransmitting, entry.runs_once});
+       entry.Confirmed(), entry.retransmitting, entry.runs_once});
   if (!evidence) return false;
   ++counters_.resets_target_silent;
   resetter_.Reset(flow, entry.acknowledged, *evidence, routes_.version);
@@ -206,8 +206,8 @@
       ++it;
       continue;
     }
-    // If the target never took the flow, its next packet is searched.
-    if (!it->second.ended && it->second.accepted) {
+    // If the flow may be open at another target, its next packet is searched.
+    if (!it->second.ended && it->second.Confirmed()) {
       ++counters_.resets_target_gone;
       resetter_.Reset(it->first, it->second.acknowledged, evidence->second,
                       routes_.version);
--- a/packages/steering_daemon/include/steering_daemon/balancer_process.h
+++ b/packages/steering_daemon/include/steering_daemon/balancer_process.h
@@ -126,6 +126,7 @@
   SteeringCommands commands_{*this, deps_.decoder.evacuation_prefix()};
   StatusServer status_server_;
   EventLoop::Timer tick_timer_;
+  TimePoint opened_at_{};
   EventLoop::Timer housekeeping_timer_;
   EventLoop::Timer exchange_timer_;
   bool tick_scheduled_ = false;
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -95,6 +95,7 @@
 }
 
 tl::expected<void, NetError> BalancerProcess::OpenSockets() {
+  opened_at_ = deps_.loop.Now();
   const auto flush = [this] { Flush(); };
   auto opened =
       OpenSocket(deps_.loop, settings_.packet_address,
@@ -131,6 +132,8 @@
       .Add("store", settings_.store)
       .Add("seeds", settings_.seeds.size());
   deps_.loop.SetMaxPoll(kMaxPoll);
+  // Nothing arrived before the sockets were opened.
+  directory_.OnAllRead(opened_at_);
   deps_.loop.SetPollObserver([this](TimePoint poll_began) {
     if (client_socket_->drained() && agent_socket_->drained() &&
         control_socket_->drained()) {
--- a/tests/open_flows/known_orders_test.cc
+++ b/tests/open_flows/known_orders_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "steering_world.h"
 
@@ -208,6 +209,34 @@
   CHECK(WrongResets(world) == "");
 }
 
+// Guards against taking a target that took a late copy of a SYN for the one at
+// which the flow is open.
+TEST_CASE("The death of a target that took a late SYN copy resets no flow") {
+  OpenFlowWorld world(2);
+  const bool known_by_search = GENERATE(false, true);
+  world.out_of_rotation = {1};
+  world.Open(world.AddClient(true));
+  world.out_of_rotation = {0};
+  if (known_by_search) {
+    world.client().Request("second");
+    REQUIRE(world.Answers("second"));
+  }
+  // No new flow is placed there.
+  world.Announce(world.holder, true);
+  std::vector<int> accepted;
+  for (const auto& target : world.targets) {
+    accepted.push_back(target->accepted_flows);
+  }
+  world.client().RetransmitSyn();
+  world.RunFor(milliseconds(100));
+  for (size_t i = 0; i < world.targets.size(); ++i) {
+    if (world.targets[i]->accepted_flows > accepted[i]) world.PowerOff(i);
+  }
+  world.client().Request("third");
+  CHECK(world.Answers("third"));
+  CHECK(WrongResets(world) == "");
+}
+
 // Guards against a search that offers a flow's packets to other targets only.
 TEST_CASE("A search that lacks the holder's entry misdirects no flow") {
   OpenFlowWorld world(1, 4);
--- a/tests/support/steering_world_processes.h
+++ b/tests/support/steering_world_processes.h
@@ -28,6 +28,7 @@
               world.codec_, directory, zones, *placement, *this, world.log_),
         process(world.scheduler, world.datagrams_per_poll,
                 [this] { RunTimers(); }) {
+    directory.OnAllRead(world.scheduler.Now());
     flows.SetStoreCurrent(true);
     flows.Apply(world.scheduler.Now(), world.RoutesAtStart(index));
   }
