A balancer that starts among restarting agents waits for lost entries

Callers saw an open flow reset, reason nobody-holds-flow, by a balancer that had just started while the store lacked the entry of the flow's target.

Cause: such a balancer waits 2.5 s for entries that may be missing, unless the whole fleet has restarted. That was concluded from half of the agents that had reported so far, and kept: one restarted agent that reported first was enough. An agent that reported late counted as one that had survived.

The new cases of directory_trust_test fail on the former rule. The case that it replaces stated that rule (one new agent of two is enough, for good); the new one is stricter.

The fix: there is no wait only while every agent that reported is new, measured against the start of the balancer and not against the time of the report.

--- a/packages/flow_location/include/flow_location/directory_trust.h
+++ b/packages/flow_location/include/flow_location/directory_trust.h
@@ -2,9 +2,7 @@
 #define SESAMESADDLE_FLOW_LOCATION_DIRECTORY_TRUST_H_
 
 #include <optional>
-#include <set>
 
-#include "core/endpoint.h"
 #include "core/time.h"
 
 namespace sesamesaddle {
@@ -16,9 +14,8 @@
  * such an entry is back within kEntryReturnTime.
  *
  * After a restart of the whole fleet no target is left that the directory could
- * lack, and all callers wait for their resets. Then most agents that report
- * have known their targets for a short time or not at all, and there is no
- * wait.
+ * lack, and all callers wait for their resets. Then no agent that reports has
+ * known its target for long, and there is no wait.
  */
 class DirectoryTrust {
  public:
@@ -30,26 +27,25 @@
     if (!since_) since_ = now;
   }
   /**
-   * @param restarted  the agent has known its target for less than
-   *        kEntryReturnTime, or does not know it yet
+   * Called for each report of an agent.
+   * @param target_known  time for which the agent has known its target; zero if
+   *        it does not know it yet
    */
-  void OnReport(const Endpoint& agent, bool restarted);
+  void OnReport(TimePoint now, Duration target_known);
   /**
    * Whether a target that a complete read did not return holds no flows.
    * @param as_of  beginning of that read
    */
-  bool Covers(TimePoint as_of);
+  bool Covers(TimePoint as_of) const;
   /** Whether a read that begins now would be covered. */
-  bool Trusted(TimePoint now) { return Covers(now); }
+  bool Trusted(TimePoint now) const { return Covers(now); }
 
  private:
   std::optional<TimePoint> since_;
-  bool fleet_restarted_ = false;
-  /** The time in which reports decide is over. */
-  bool settled_ = false;
-  /** Agents that have reported meanwhile. */
-  std::set<Endpoint> reported_;
-  std::set<Endpoint> restarted_;
+  /** Whether any agent has reported. */
+  bool reported_ = false;
+  /** Whether any of them had known its target before this process started. */
+  bool any_survived_ = false;
 };
 
 }  // namespace sesamesaddle
--- a/packages/flow_location/src/directory_trust.cc
+++ b/packages/flow_location/src/directory_trust.cc
@@ -2,24 +2,16 @@
 
 namespace sesamesaddle {
 
-void DirectoryTrust::OnReport(const Endpoint& agent, bool restarted) {
-  if (fleet_restarted_ || settled_) return;
-  reported_.insert(agent);
-  if (restarted) restarted_.insert(agent);
+void DirectoryTrust::OnReport(TimePoint now, Duration target_known) {
+  const Duration since_read = since_ ? now - *since_ : Duration::zero();
+  reported_ = true;
+  if (target_known >= kEntryReturnTime + since_read) any_survived_ = true;
 }
 
-bool DirectoryTrust::Covers(TimePoint as_of) {
+bool DirectoryTrust::Covers(TimePoint as_of) const {
   if (!since_) return false;
-  if (!fleet_restarted_ && !settled_) {
-    fleet_restarted_ =
-        !restarted_.empty() && 2 * restarted_.size() >= reported_.size();
-    settled_ = as_of - *since_ >= kEntryReturnTime;
-    if (fleet_restarted_ || settled_) {
-      reported_.clear();
-      restarted_.clear();
-    }
-  }
-  return fleet_restarted_ || as_of - *since_ >= kEntryReturnTime;
+  const bool fleet_restarted = reported_ && !any_survived_;
+  return fleet_restarted || as_of - *since_ >= kEntryReturnTime;
 }
 
 }  // namespace sesamesaddle
--- a/packages/flow_location/src/flow_locator_digests.cc
+++ b/packages/flow_location/src/flow_locator_digests.cc
@@ -6,6 +6,17 @@
 #include "flow_location/flow_locator.h"
 
 namespace sesamesaddle {
+namespace {
+
+/** Returns for how long the agent has known its target. */
+Duration TargetKnownFor(const schema::AgentReport& report) {
+  if (report.state == schema::TargetState::kUnknown) return Duration::zero();
+  // An agent of an earlier build does not report it.
+  if (!report.__isset.target_known_ms) return Duration::max();
+  return std::chrono::milliseconds(report.target_known_ms);
+}
+
+}  // namespace
 
 std::vector<WaitingSearch> FlowLocator::SearchesByDigest() const {
   std::vector<WaitingSearch> waiting;
@@ -45,11 +56,7 @@
 
 void FlowLocator::OnReport(TimePoint now, const Endpoint& agent,
                            const schema::AgentReport& report) {
-  const bool known_briefly = report.__isset.target_known_ms &&
-                             std::chrono::milliseconds(report.target_known_ms) <
-                                 DirectoryTrust::kEntryReturnTime;
-  trust_.OnReport(
-      agent, known_briefly || report.state == schema::TargetState::kUnknown);
+  trust_.OnReport(now, TargetKnownFor(report));
   const bool in_progress = digest_rounds_.InProgress();
   const auto round = digest_rounds_.OnReport(now, agent, report);
   if (round) QueryListedFlows(now, agent, *round, report.digest.hashes);
--- a/packages/flow_location/tests/directory_trust_test.cc
+++ b/packages/flow_location/tests/directory_trust_test.cc
@@ -10,13 +10,16 @@
 
 const TimePoint kNow(seconds(1000));
 
+constexpr Duration kLong = seconds(30);
+
 // Guards against resets by a balancer that starts while the entry of a living
 // target is missing.
 TEST_CASE("A directory is trusted once a lost entry would be back") {
   DirectoryTrust trust;
   CHECK_FALSE(trust.Trusted(kNow));
   trust.OnDirectoryRead(kNow);
-  for (uint32_t i = 1; i <= 5; ++i) trust.OnReport(Endpoint(i, 1), i == 1);
+  trust.OnReport(kNow, Duration::zero());
+  for (int i = 0; i < 4; ++i) trust.OnReport(kNow, kLong);
   CHECK_FALSE(trust.Trusted(kNow + milliseconds(2499)));
   trust.OnDirectoryRead(kNow + milliseconds(2000));
   CHECK(trust.Trusted(kNow + DirectoryTrust::kEntryReturnTime));
@@ -24,15 +27,26 @@
   CHECK_FALSE(trust.Covers(kNow + milliseconds(2000)));
 }
 
-TEST_CASE("A directory is trusted at once if most agents have restarted") {
+// Guards against taking restarts of some agents for a restart of the fleet.
+TEST_CASE("A directory is trusted at once only while all agents are new") {
   DirectoryTrust trust;
-  trust.OnReport(Endpoint(1, 1), true);
+  trust.OnReport(kNow, milliseconds(100));
   CHECK_FALSE(trust.Trusted(kNow));  // Nothing was read yet.
   trust.OnDirectoryRead(kNow);
-  trust.OnReport(Endpoint(2, 1), false);
   CHECK(trust.Trusted(kNow));
-  for (uint32_t i = 3; i <= 9; ++i) trust.OnReport(Endpoint(i, 1), false);
+  trust.OnReport(kNow, Duration::zero());
   CHECK(trust.Trusted(kNow));
+  trust.OnReport(kNow, kLong);
+  CHECK_FALSE(trust.Trusted(kNow));
+}
+
+TEST_CASE("An agent that reports late is as new as one that reports at once") {
+  DirectoryTrust trust;
+  trust.OnDirectoryRead(kNow);
+  trust.OnReport(kNow + seconds(2), seconds(4));
+  CHECK(trust.Trusted(kNow + seconds(2)));
+  trust.OnReport(kNow + seconds(2), seconds(5));
+  CHECK_FALSE(trust.Trusted(kNow + seconds(2)));
 }
 
 }  // namespace
