An agent that starts lets its target decide on flows that are sent to it

Callers saw an open flow reset, reason nobody-holds-flow, after the crash of the agent beside its target.

Cause: a process to which its target's first announcement came took that for proof that it had seen all flows of the target. A target that starts anew at an address whose agent still knows the former one takes flows before it announces itself; if the agent's process ends in between, the next one denied them.

The new case of known_orders_test fails without the change (denied=2, ended=0).

The fix: a packet that a balancer sends straight to an agent is itself a sign that the target took the flow, so the target decides, at the price of one packet that it returns. Answers to searches stay as they were.

--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -162,7 +162,9 @@
   const bool offered = header.tag.kind == HopKind::kOffer;
   const auto it = flows_.find(flow);
   if (it == flows_.end()) {
-    if (target_monitor_.gone() || TracksAllFlows(now)) {
+    // A balancer that sends a flow here saw its SYN taken, perhaps through an
+    // earlier process and before the target announced itself.
+    if (target_monitor_.gone() || (offered && TracksAllFlows(now))) {
       ReplyNotHeld(now, balancer, flow, offered, packet, size);
       return;
     }
--- a/tests/open_flows/known_orders_test.cc
+++ b/tests/open_flows/known_orders_test.cc
@@ -237,6 +237,29 @@
   CHECK(WrongResets(world) == "");
 }
 
+// Guards against taking a target's first announcement for proof that the
+// agent's process saw all flows of the target.
+TEST_CASE("A flow older than its target's first announcement is not denied") {
+  SteeringWorld world(1, 2, kSeed);
+  for (size_t i = 0; i < world.targets.size(); ++i) world.targets[i]->Start();
+  VirtualFlowClient& client = world.AddClient(true);
+  client.deadline = seconds(8);
+  world.RunFor(milliseconds(500));
+  client.Request("first");
+  world.RunFor(milliseconds(100));
+  REQUIRE(client.results["first"].answered);
+  for (size_t i = 0; i < world.targets.size(); ++i) {
+    world.KillAgent(i);
+    world.StartAgent(i);
+    world.AnnounceStart(i);
+  }
+  world.RunFor(milliseconds(100));
+  client.Request("second");
+  world.RunFor(client.deadline);
+  CHECK(client.results["second"].answered);
+  CHECK(WrongResets(world) == "");
+}
+
 // Guards against a search that offers a flow's packets to other targets only.
 TEST_CASE("A search that lacks the holder's entry misdirects no flow") {
   OpenFlowWorld world(1, 4);
