Refusals are counted and logged once, when they are sent

Operators saw more resets_overload_total, resets_no_target_total and resets_zones_evacuated_total, and more flow-refused lines, than clients got refusals.

The count is now where the refusal is sent, for all four kinds.

--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -328,10 +328,13 @@
   bool DropIfOver(TimePoint now, const Flow& flow, const Route& route,
                   const PendingSyn& pending);
   /**
-   * Ends the attempts to place a flow. Its client is reset unless the flow may
-   * be open.
+   * Ends the attempts to place a flow, at once or after its client's next copy.
+   * The client is refused unless the flow may be open.
+   * @return whether it was refused
    */
-  void GiveUp(TimePoint now, const Flow& flow, Refusal refusal);
+  bool GiveUp(TimePoint now, const Flow& flow, Refusal refusal);
+  /** Refuses a new flow and counts that. */
+  void Refuse(const Flow& flow, Refusal refusal, const AllCopiesSeen& evidence);
   /** Returns false if the flow was refused; `pending` is invalid then. */
   bool Admit(TimePoint now, const Flow& flow, const Route& route,
              const AgentView& chosen, PendingSyn& pending);
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -123,7 +123,6 @@
         AdmissionControl::WaitLimit(route, admission_.room_wait)) {
       return true;
     }
-    ++counters_.resets_no_target;
     GiveUp(now, flow, Refusal::kNoTarget);
     return false;
   }
--- a/packages/steering/src/flow_balancer_admission.cc
+++ b/packages/steering/src/flow_balancer_admission.cc
@@ -34,7 +34,7 @@
   return true;
 }
 
-void FlowBalancer::GiveUp(TimePoint now, const Flow& flow, Refusal refusal) {
+bool FlowBalancer::GiveUp(TimePoint now, const Flow& flow, Refusal refusal) {
   const auto it = pending_syns_.find(flow);
   PendingSyn& pending = it->second;
   const Duration waited = now - pending.sent;
@@ -43,11 +43,32 @@
       !SynPatience::ProbablyAbandoned(waited, pending.copies.highest())) {
     // The next copy shows whether the client still sends its packets here.
     pending.retry_at = now + kPlacementRetryPeriod;
-    return;
+    return false;
   }
-  // A copy that is overdue may have opened the flow through another balancer.
-  if (evidence) resetter_.Refuse(flow, refusal, *evidence, routes_.version);
   pending_syns_.erase(it);
+  // A copy that is overdue may have opened the flow through another balancer.
+  if (!evidence) return false;
+  Refuse(flow, refusal, *evidence);
+  return true;
+}
+
+void FlowBalancer::Refuse(const Flow& flow, Refusal refusal,
+                          const AllCopiesSeen& evidence) {
+  switch (refusal) {
+    case Refusal::kNoRoute:
+      ++counters_.resets_no_route;
+      break;
+    case Refusal::kNoTarget:
+      ++counters_.resets_no_target;
+      break;
+    case Refusal::kOverload:
+      ++counters_.resets_overload;
+      break;
+    case Refusal::kZonesEvacuated:
+      ++counters_.resets_zones_evacuated;
+      break;
+  }
+  resetter_.Refuse(flow, refusal, evidence, routes_.version);
 }
 
 bool FlowBalancer::Admit(TimePoint now, const Flow& flow, const Route& route,
@@ -66,14 +87,14 @@
     case AdmissionDecision::kRefuse:
       break;
   }
-  ++counters_.resets_overload;
-  LogLine(log_, EventKind::kFlowRefused, kLogComponent, "flow-refused")
-      .Add("flow", flow)
-      .Add("route", route.name)
-      .Add("work_per_slot", work)
-      .Add("waited", waited)
-      .Add("report_age", now - chosen.last_report);
-  GiveUp(now, flow, Refusal::kOverload);
+  if (GiveUp(now, flow, Refusal::kOverload)) {
+    LogLine(log_, EventKind::kFlowRefused, kLogComponent, "flow-refused")
+        .Add("flow", flow)
+        .Add("route", route.name)
+        .Add("work_per_slot", work)
+        .Add("waited", waited)
+        .Add("report_age", now - chosen.last_report);
+  }
   return false;
 }
 
--- a/packages/steering/src/flow_balancer_notices.cc
+++ b/packages/steering/src/flow_balancer_notices.cc
@@ -172,14 +172,14 @@
     }
   }
   if (targets == 0) return false;
-  ++counters_.resets_zones_evacuated;
-  LogLine(log_, EventKind::kFlowRefused, kLogComponent, "flow-refused")
-      .Add("flow", flow)
-      .Add("route", route.name)
-      .Add("reason", "zones-evacuated")
-      .Add("targets", targets)
-      .Add("zones_evacuated", zones_.EvacuatedCount());
-  GiveUp(now, flow, Refusal::kZonesEvacuated);
+  if (GiveUp(now, flow, Refusal::kZonesEvacuated)) {
+    LogLine(log_, EventKind::kFlowRefused, kLogComponent, "flow-refused")
+        .Add("flow", flow)
+        .Add("route", route.name)
+        .Add("reason", "zones-evacuated")
+        .Add("targets", targets)
+        .Add("zones_evacuated", zones_.EvacuatedCount());
+  }
   return true;
 }
 
--- a/packages/steering/src/flow_balancer_routes.cc
+++ b/packages/steering/src/flow_balancer_routes.cc
@@ -23,9 +23,7 @@
   SynCopies copies;
   copies.OnCopy(header.acknowledged, directory_.all_read_as_of());
   const auto evidence = AllCopiesSeen::Check(now, copies);
-  if (!evidence) return;
-  ++counters_.resets_no_route;
-  resetter_.Refuse(flow, Refusal::kNoRoute, *evidence, routes_.version);
+  if (evidence) Refuse(flow, Refusal::kNoRoute, *evidence);
 }
 
 void FlowBalancer::ForwardRouted(TimePoint now) {
--- a/packages/steering/tests/zone_evacuation_test.cc
+++ b/packages/steering/tests/zone_evacuation_test.cc
@@ -263,6 +263,22 @@
   CHECK(client.results["b"].answered);
 }
 
+TEST_CASE("A refusal that waits for the next copy of a SYN is counted once") {
+  ZoneWorld world(1, 4, 16);
+  world.Evacuate(kEast);
+  world.Evacuate(kWest);
+  world.RunFor(kNoticeTime);
+  VirtualFlowClient& client = world.AddClient(false);
+  client.retries = 0;
+  // The SYN waits in a socket, so the balancer does not know its age.
+  world.balancer_process(0).HoldUp(milliseconds(250));
+  world.RunFor(milliseconds(80));
+  client.Request("a");
+  world.RunFor(milliseconds(210));
+  CHECK(client.results["a"].resets == 1);
+  CHECK(world.balancer(0)->counters().resets_zones_evacuated == 1);
+}
+
 TEST_CASE("A service without targets is not refused as evacuated") {
   // Its targets may be listed at any time; the flow waits for them.
   ZoneWorld world(1, 2, 13);
