--- a/tools/soak/run.sh
+++ b/tools/soak/run.sh
@@ -10,7 +10,9 @@
 # restored (evacuation.sh). cold: targets crash and start slowly with a limit of
 # WARMUP new flows per second; agents and balancers are killed meanwhile. The seed
 # determines the faults and their order; the script prints them if the run fails.
-# BALANCERS, TARGETS and CLIENTS set sizes.
+# BALANCERS, TARGETS and CLIENTS set sizes. If OTHER_DAEMON names the sesamesaddled
+# of another build, half of the processes start with it, and each restart changes
+# the build of its process (scripts/mixed-builds).
 # Ends only the processes that it started, by their ids.
 set -uo pipefail
 SEED="${1:?seed}" SECONDS_LONG="${2:?seconds}" PORT="${3:-25000}" MODE="${4:-mixed}"
@@ -22,7 +24,7 @@
 RANDOM=$((SEED % 32768))
 WORK="$(mktemp -d)"
 STORE="127.0.0.1:$((PORT + 50))"
-declare -A PIDS
+declare -A PIDS STARTS
 
 settings() {  # ROLE INDEX -> file
   local kind=1 file="$WORK/$1-$2.toml" service=orders
@@ -48,8 +50,14 @@
 }
 start() {  # ROLE INDEX
   local file
+  local daemon="$BIN/packages/daemon/sesamesaddled"
   file="$(settings "$1" "$2")"
-  "$BIN/packages/daemon/sesamesaddled" "flow-$1" --metrics-port 0 \
+  local starts="${STARTS[$1-$2]:-0}"
+  STARTS[$1-$2]=$((starts + 1))
+  if [ -n "${OTHER_DAEMON:-}" ] && [ $((($2 + starts) % 2)) = 1 ]; then
+    daemon="$OTHER_DAEMON"
+  fi
+  "$daemon" "flow-$1" --metrics-port 0 \
     --settings "$file" >>"$WORK/$1-$2.log" 2>&1 &
   PIDS[$1-$2]=$!
 }
