soak: children are started without the EXIT trap of run.sh

Cause: plan.log has "balancer-1 starts at ...752" and "balancer-1 TERM at ...752". The child had not called exec yet, and a bash child that dies by a signal runs the EXIT trap of its parent, which ends all processes.

No check of the soak has changed.

--- a/tools/soak/run.sh
+++ b/tools/soak/run.sh
@@ -57,13 +57,14 @@
   if [ -n "${OTHER_DAEMON:-}" ] && [ $((($2 + starts) % 2)) = 1 ]; then
     daemon="$OTHER_DAEMON"
   fi
+  # A child that receives a signal before its exec would run the trap, too.
+  trap - EXIT
   "$daemon" "flow-$1" --metrics-port 0 \
     --settings "$file" >>"$WORK/$1-$2.log" 2>&1 &
   PIDS[$1-$2]=$!
+  trap stop_all EXIT
 }
 stop_all() {
-  # A child that receives a signal before its exec also runs this trap.
-  [ "$BASHPID" = "$$" ] || return
   for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
   wait 2>/dev/null
 }
