--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -81,6 +81,7 @@
       ForwardSyn(now, *agent, std::string(packet), 0, {});
       return;
     }
+    if (known->second.opened) return;
   } else if (known != flows_.end()) {
     flows_.erase(known);
   }
