A flow whose SYN came to one balancer alone costs no query

Callers saw no fault; each new flow could cost one query and one report more than needed. A balancer asked the agent whether its target holds the flow at the client's second packet, whenever the agent's report that its target took the SYN was still on its way.

Cause: ConfirmHolder asked for flows that are not confirmed, though a flow whose SYN copies all came here lacks only that report, which comes unasked. Send also forgot what was known of the former target but not that it had been asked.

The fix: what is known of the target a SYN went to is one record (Holder), renewed with each SYN. Its agent is asked if a copy may have gone elsewhere, or once its report is overdue (kAcceptTimeout).

--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -227,17 +227,34 @@
   }
 
  private:
-  struct FlowEntry {
-    Endpoint agent;
+  /** What is known of the target to which a flow's SYN was last sent. */
+  struct Holder {
     /** The agent has confirmed that its target took the SYN. */
     bool accepted = false;
     /**
      * No other target can have opened the flow: all copies of its SYN came to
      * this process, or the agent has reported that its target holds the flow.
      */
-    bool sole_holder = false;
+    bool sole = false;
     /** The agent was asked whether its target holds the flow. */
-    bool holder_asked = false;
+    bool asked = false;
+    /** When the SYN was sent. */
+    TimePoint syn_sent{};
+
+    /** Whether the flow is known to be open at the agent's target. */
+    bool Confirmed() const { return accepted && sole; }
+    /**
+     * Whether the agent has to be asked to confirm that. It reports by itself
+     * that its target took the SYN, which suffices if no other one can have.
+     */
+    bool QueryDue(TimePoint now) const {
+      if (Confirmed() || asked) return false;
+      return !sole || now - syn_sent >= kAcceptTimeout;
+    }
+  };
+  struct FlowEntry {
+    Endpoint agent;
+    Holder holder;
     /** The client has sent a packet after its SYN. */
     bool opened = false;
     /** The client has closed or reset it. */
@@ -262,9 +279,6 @@
     TimePoint last_packet{};
     /** All agents that the SYN was sent to. */
     std::vector<Endpoint> tried;
-
-    /** Whether the flow is known to be open at the agent's target. */
-    bool Confirmed() const { return accepted && sole_holder; }
   };
   /** A SYN that no target has accepted yet. */
   struct PendingSyn {
@@ -291,12 +305,6 @@
               char* packet, size_t size);
   /** Records a client's packet after its SYN. */
   void RecordData(TimePoint now, const PacketHeader& header, FlowEntry& entry);
-  /**
-   * Asks the agent once whether its target holds the flow, unless that is
-   * known.
-   */
-  void ConfirmHolder(TimePoint now, const Flow& flow, FlowEntry& entry,
-                     AgentView& agent);
   /** Handles a SYN that an agent returned. */
   void OnSynReturned(TimePoint now, const Flow& flow, const Route& route,
                      const PacketHeader& header, AgentView* agent,
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -75,7 +75,7 @@
     known->second.copies.OnCopy(header.acknowledged,
                                 directory_.all_read_as_of());
     AgentView* agent = directory_.Find(known->second.agent);
-    if (known->second.accepted && agent != nullptr &&
+    if (known->second.holder.accepted && agent != nullptr &&
         !directory_.Silent(now, *agent)) {
       // The SYN-ACK for the first copy was lost.
       ForwardSyn(now, *agent, std::string(packet), 0, {});
@@ -171,8 +171,8 @@
   entry.agent = chosen.agent;
   if (!entry.placed_version) entry.placed_version = routes_.version;
   entry.tried.push_back(chosen.agent);
-  entry.accepted = false;
-  entry.sole_holder = false;
+  entry.holder = Holder();
+  entry.holder.syn_sent = now;
   entry.runs_once = route.kind == RequestKind::kRunsOnce;
   entry.syn_sequence = pending.sequence;
   entry.copies = pending.copies;
@@ -232,21 +232,24 @@
     flows_.erase(it);
     return;
   }
-  if (!entry.Confirmed() && entry.retransmitting &&
+  if (!entry.holder.Confirmed() && entry.retransmitting &&
       directory_.Unreachable(now, *agent)) {
     flows_.erase(it);
     StartSearch(now, flow, header, std::string_view(packet, size), {}, {});
     return;
   }
   // The agent learns from the first packet that the flow is open.
-  if (!first) ConfirmHolder(now, flow, entry, *agent);
+  if (!first && !entry.ended && entry.holder.QueryDue(now)) {
+    entry.holder.asked = true;
+    QueryAgent(now, *agent, flow);
+  }
   Forward(now, *agent, packet, size);
 }
 
 void FlowBalancer::RecordData(TimePoint now, const PacketHeader& header,
                               FlowEntry& entry) {
   if (!entry.opened) {
-    entry.sole_holder = AllCopiesSeen::Check(now, entry.copies).has_value();
+    entry.holder.sole = AllCopiesSeen::Check(now, entry.copies).has_value();
   }
   entry.opened = true;
   entry.client_sequence = header.sequence;
@@ -255,13 +258,6 @@
   entry.ended = entry.ended || header.fin || header.reset;
 }
 
-void FlowBalancer::ConfirmHolder(TimePoint now, const Flow& flow,
-                                 FlowEntry& entry, AgentView& agent) {
-  if (entry.Confirmed() || entry.holder_asked || entry.ended) return;
-  entry.holder_asked = true;
-  QueryAgent(now, agent, flow);
-}
-
 void FlowBalancer::ForwardSyn(TimePoint now, AgentView& agent,
                               std::string packet, uint8_t priority,
                               SynTimes times) {
@@ -338,8 +334,8 @@
   if (client_sequence) entry.client_sequence = client_sequence;
   const Route* route = routes_.Find(flow.service);
   entry.agent = agent.agent;
-  entry.accepted = true;
-  entry.sole_holder = true;
+  entry.holder.accepted = true;
+  entry.holder.sole = true;
   entry.opened = true;
   entry.runs_once = route == nullptr || route->kind == RequestKind::kRunsOnce;
   entry.last_packet = now;
--- a/packages/steering/src/flow_balancer_agents.cc
+++ b/packages/steering/src/flow_balancer_agents.cc
@@ -80,7 +80,7 @@
   const auto evidence = InstanceSilent::Check(
       agent.agent,
       {directory_.Unreachable(now, agent), directory_.Restarting(now, agent),
-       entry.Confirmed(), entry.retransmitting, entry.runs_once});
+       entry.holder.Confirmed(), entry.retransmitting, entry.runs_once});
   if (!evidence) return false;
   ++counters_.resets_target_silent;
   resetter_.Reset(flow, entry.acknowledged, *evidence, routes_.version);
@@ -174,7 +174,7 @@
     const auto it = flows_.find(flow);
     if (it == flows_.end()) continue;
     pending_syns_.erase(flow);
-    if (it->second.tried.size() == 1) it->second.accepted = true;
+    if (it->second.tried.size() == 1) it->second.holder.accepted = true;
   }
   for (const auto& key : report.held) OnHolderFound(now, FromKey(key), *agent);
   for (const auto& key : report.unsure) {
@@ -207,7 +207,7 @@
       continue;
     }
     // If the flow may be open at another target, its next packet is searched.
-    if (!it->second.ended && it->second.Confirmed()) {
+    if (!it->second.ended && it->second.holder.Confirmed()) {
       ++counters_.resets_target_gone;
       resetter_.Reset(it->first, it->second.acknowledged, evidence->second,
                       routes_.version);
@@ -221,7 +221,7 @@
   flows.reserve(flows_.size());
   for (const auto& [flow, entry] : flows_) {
     flows.push_back(
-        {flow, entry.agent, entry.accepted, now - entry.last_packet});
+        {flow, entry.agent, entry.holder.accepted, now - entry.last_packet});
   }
   return flows;
 }
