A report of an agent without an entry shows that its entry is missing

Callers saw an open flow reset (nobody-holds-flow) by a balancer that started while the store had lost the entry of the flow's target.

Cause: the balancer dropped reports of agents that its directory lacks. They show that the directory is incomplete, and their agents can be told at once to write their entries again.

The fix: an unlisted agent that reports a target which has not ended is sent the notice of a missing entry, and no directory counts as complete until the agent is listed, its target has ended, or it has been silent for kEntryReturnTime. The revision in the notice is that of the latest complete read, so an agent that has written its entry since ignores it.

--- a/benchmark/flow_search_benchmark.cc
+++ b/benchmark/flow_search_benchmark.cc
@@ -107,8 +107,10 @@
       DeliverReports();
       Measure([&] { balancer_.FlushQueries(now_); });
       if (now_ == directory_read_) {
-        Measure(
-            [&] { balancer_.OnDirectoryRead(now_, now_ - kStoreRoundTrip); });
+        Measure([&] {
+          balancer_.OnDirectoryRead(now_, now_ - kStoreRoundTrip,
+                                    StoreRevision(directory_.size()));
+        });
       }
       if (now_ < next_tick) continue;
       next_tick += kTickPeriod;
--- a/packages/flow_location/include/flow_location/directory_trust.h
+++ b/packages/flow_location/include/flow_location/directory_trust.h
@@ -1,8 +1,10 @@
 #ifndef SESAMESADDLE_FLOW_LOCATION_DIRECTORY_TRUST_H_
 #define SESAMESADDLE_FLOW_LOCATION_DIRECTORY_TRUST_H_
 
+#include <map>
 #include <optional>
 
+#include "core/endpoint.h"
 #include "core/time.h"
 
 namespace sesamesaddle {
@@ -16,6 +18,8 @@
  * After a restart of the whole fleet no target is left that the directory could
  * lack, and all callers wait for their resets. Then no agent that reports has
  * known its target for long, and there is no wait.
+ *
+ * A report of an agent without an entry shows that the directory is incomplete.
  */
 class DirectoryTrust {
  public:
@@ -32,6 +36,12 @@
    *        it does not know it yet
    */
   void OnReport(TimePoint now, Duration target_known);
+  /** Called for each report of a living agent that the directory lacks. */
+  void OnUnlistedReport(TimePoint now, const Endpoint& agent);
+  /** Called when the directory has the agent, or its target has ended. */
+  void OnResolved(const Endpoint& agent) { unlisted_.erase(agent); }
+  /** Whether the directory lacks that agent, which has reported lately. */
+  bool LacksAgent(TimePoint now, const Endpoint& agent) const;
   /**
    * Whether a target that a complete read did not return holds no flows.
    * @param as_of  beginning of that read
@@ -46,6 +56,8 @@
   bool reported_ = false;
   /** Whether any of them had known its target before this process started. */
   bool any_survived_ = false;
+  /** Living agents that the directory lacks, and when they last reported. */
+  std::map<Endpoint, TimePoint> unlisted_;
 };
 
 }  // namespace sesamesaddle
--- a/packages/flow_location/include/flow_location/flow_locator.h
+++ b/packages/flow_location/include/flow_location/flow_locator.h
@@ -135,6 +135,19 @@
   /** Handles the digest of a report, after the report's lists of flows. */
   void OnReport(TimePoint now, const Endpoint& agent,
                 const schema::AgentReport& report);
+  /**
+   * Handles a report of a living agent that the directory lacks, whose target
+   * may hold any flow.
+   */
+  void OnUnlistedReport(TimePoint now, const Endpoint& agent) {
+    trust_.OnUnlistedReport(now, agent);
+  }
+  /** Called when the directory has the agent, or its target has ended. */
+  void OnUnlistedResolved(const Endpoint& agent) { trust_.OnResolved(agent); }
+  /** Whether the directory lacks that agent, which has reported lately. */
+  bool DirectoryLacks(TimePoint now, const Endpoint& agent) const {
+    return trust_.LacksAgent(now, agent);
+  }
   /**
    * Called when the directory holds all entries that the store listed at
    * `as_of` or later.
--- a/packages/flow_location/tests/directory_trust_test.cc
+++ b/packages/flow_location/tests/directory_trust_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "core/endpoint.h"
+
 namespace sesamesaddle {
 namespace {
 
@@ -49,5 +51,27 @@
   CHECK_FALSE(trust.Trusted(kNow + seconds(2)));
 }
 
+// Guards against taking a directory for complete that lacks a living agent.
+TEST_CASE("A directory without a reporting agent is not trusted") {
+  const Endpoint agent(0x0a010001, 8172);
+  const Endpoint other(0x0a010002, 8172);
+  DirectoryTrust trust;
+  trust.OnDirectoryRead(kNow);
+  trust.OnReport(kNow, Duration::zero());
+  REQUIRE(trust.Trusted(kNow));
+  trust.OnUnlistedReport(kNow, agent);
+  CHECK(trust.LacksAgent(kNow, agent));
+  CHECK_FALSE(trust.LacksAgent(kNow, other));
+  CHECK_FALSE(trust.Trusted(kNow));
+  trust.OnResolved(agent);
+  CHECK_FALSE(trust.LacksAgent(kNow, agent));
+  CHECK(trust.Trusted(kNow));
+  trust.OnUnlistedReport(kNow + seconds(5), agent);
+  CHECK_FALSE(trust.Trusted(kNow + milliseconds(7499)));
+  // It has reported nothing since, so it may have ended.
+  CHECK(trust.Trusted(kNow + milliseconds(7500)));
+  CHECK_FALSE(trust.LacksAgent(kNow + milliseconds(7500), agent));
+}
+
 }  // namespace
 }  // namespace sesamesaddle
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -15,6 +15,7 @@
 #include "admission/admission_options.h"
 #include "core/endpoint.h"
 #include "core/event_log.h"
+#include "core/store_revision.h"
 #include "core/time.h"
 #include "evidence/flow_resetter.h"
 #include "evidence/reset_evidence.h"
@@ -189,10 +190,11 @@
   /**
    * Called when the directory holds all entries that the store listed at
    * `as_of`.
+   * @param revision  the store's revision then
    * @param routes_known  whether the configuration in force is the one that the
    *        store had then; not if that one could not be read
    */
-  void OnDirectoryRead(TimePoint now, TimePoint as_of,
+  void OnDirectoryRead(TimePoint now, TimePoint as_of, StoreRevision revision,
                        bool routes_known = true);
   /** Called when the instance of an agent accepted or refused a connection. */
   void OnInstanceAnswer(const Endpoint& agent, InstanceAnswer answer);
@@ -222,8 +224,8 @@
   /** Whether the next OnTick has work. */
   bool busy() const {
     return !pending_syns_.empty() || !locator_.idle() || !queries_.empty() ||
-           !suspects_.empty() || !notices_.idle() || !unrouted_.empty() ||
-           directory_.has_unlisted();
+           !suspects_.empty() || !notices_.idle() || !missing_entries_.idle() ||
+           !unrouted_.empty() || directory_.has_unlisted();
   }
 
  private:
@@ -408,8 +410,13 @@
   bool LacksNotice(const AgentView& agent,
                    const schema::AgentReport& report) const;
   void SendNotices(TimePoint now);
+  /** Handles the report of an agent that the directory lacks. */
+  void OnUnlistedReport(TimePoint now, const schema::AgentReport& report);
   /** Sends the due notices of missing entries. */
   void ReportMissingEntries(TimePoint now);
+  /** Returns the notice to an agent, unless its entry is not missing. */
+  std::optional<schema::AgentNotice> MakeMissingEntryNotice(
+      TimePoint now, const Endpoint& agent) const;
   void SendNotice(TimePoint now, AgentView& agent);
   /** Records which services have another limit than before. */
   void OnLimitsChanged(TimePoint now,
@@ -468,6 +475,8 @@
   RouteTable routes_;
   RouteHistory history_;
   bool store_current_ = false;
+  /** Of the latest complete read of the directory. */
+  StoreRevision directory_revision_;
   FlowMap flows_;
   std::unordered_map<Flow, PendingSyn> pending_syns_;
   /** Pending queries by agent; sent in parts if they name many flows. */
--- a/packages/steering/include/steering/missing_entry_schedule.h
+++ b/packages/steering/include/steering/missing_entry_schedule.h
@@ -37,6 +37,13 @@
    *                     agent first
    */
   void OnRemoved(TimePoint now, const Endpoint& agent, bool is_notifier);
+  /**
+   * Starts the notices to an agent that reports although this balancer has no
+   * entry of it, unless they have begun.
+   */
+  void OnUnlistedReport(TimePoint now, const Endpoint& agent) {
+    series_.try_emplace(agent, Series{now, kFirstRepeatPeriod});
+  }
   /**
    * Ends the notices to an agent: its entry is back, or it is gone. Does
    * nothing if there are none.
--- a/packages/steering/src/flow_balancer_agents.cc
+++ b/packages/steering/src/flow_balancer_agents.cc
@@ -166,7 +166,10 @@
   ++counters_.reports;
   AgentView* agent = directory_.Find(Endpoint::Unpack(report.agent));
   directory_.OnReport(now, report);
-  if (agent == nullptr) return;
+  if (agent == nullptr) {
+    OnUnlistedReport(now, report);
+    return;
+  }
   OnZoneReported(now, *agent, report);
   if (report.state == schema::TargetState::kGone) ForgetFlowsOf(*agent);
   for (const auto& key : report.accepted) {
--- a/packages/steering/src/flow_balancer_routes.cc
+++ b/packages/steering/src/flow_balancer_routes.cc
@@ -47,7 +47,8 @@
 }
 
 void FlowBalancer::OnDirectoryRead(TimePoint now, TimePoint as_of,
-                                   bool routes_known) {
+                                   StoreRevision revision, bool routes_known) {
+  directory_revision_ = revision;
   if (!routes_known) return;
   locator_.OnDirectoryRead(now, as_of);
   ResetUnrouted(as_of);
--- a/packages/steering/tests/missing_entry_test.cc
+++ b/packages/steering/tests/missing_entry_test.cc
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <string>
 
+#include "flow_location/directory_trust.h"
 #include "steering_world.h"
 
 namespace sesamesaddle {
@@ -82,6 +83,36 @@
   CHECK(fleet.reported_missing == 0);
 }
 
+// Guards against resets by a balancer that starts while the entry of a living
+// target is missing, when no balancer is left that had it.
+TEST_CASE("A balancer that never had an entry reports it missing") {
+  Fleet fleet(1);
+  SteeringWorld& world = fleet.world;
+  world.on_entry_missing = [&](size_t target) {
+    CHECK(target == 0);
+    if (++fleet.reported_missing > 1) return;
+    world.scheduler.After(milliseconds(20), [&world] { world.List(0); });
+  };
+  world.RunFor(DirectoryTrust::kEntryReturnTime);
+  // The agent reports the ends of requests to balancers that sent them.
+  for (auto& target : world.targets) target->work = milliseconds(300);
+  for (auto& client : world.clients) {
+    client->deadline = seconds(8);
+    client->Request("last");
+  }
+  world.RunFor(milliseconds(100));
+  world.KillBalancer(0);
+  world.RemoveEntry(0);
+  world.StartBalancer(0);
+  world.RunFor(seconds(4));
+  CHECK(RunRounds(world, 1, milliseconds(500)) == kClients);
+  CHECK(fleet.reported_missing > 0);
+  CHECK(world.wrong_resets.empty());
+  const int reported = fleet.reported_missing;
+  world.RunFor(seconds(10));
+  CHECK(fleet.reported_missing == reported);
+}
+
 TEST_CASE("Notices to an agent that has ended stop when it is dropped") {
   Fleet fleet;
   SteeringWorld& world = fleet.world;
--- a/packages/steering_daemon/src/balancer_process.cc
+++ b/packages/steering_daemon/src/balancer_process.cc
@@ -289,6 +289,7 @@
         .Add("revision", revision.number);
   }
   balancer_.OnDirectoryRead(deps_.loop.Now(), as_of,
+                            follower_.directory_revision(),
                             !configuration_unreadable_);
   Flush();
 }
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -86,7 +86,8 @@
   listed_balancers_.insert(i);
   ListBalancers();
   balancers_[i]->ReadDirectory();
-  balancers_[i]->flows.OnDirectoryRead(scheduler.Now(), scheduler.Now());
+  balancers_[i]->flows.OnDirectoryRead(scheduler.Now(), scheduler.Now(),
+                                       StoreRevision(revision_));
 }
 
 void SteeringWorld::KillAgent(size_t i) {
--- a/tests/support/steering_world_processes.cc
+++ b/tests/support/steering_world_processes.cc
@@ -96,7 +96,8 @@
       }
       ReadDirectory();
       flows.Apply(world.scheduler.Now(), world.NewestRoutes());
-      flows.OnDirectoryRead(world.scheduler.Now(), began);
+      flows.OnDirectoryRead(world.scheduler.Now(), began,
+                            StoreRevision(world.revision_));
     });
   });
 }
@@ -144,7 +145,7 @@
     flows.OnAgentListed(now, AgentAddress(target));
   }
   flows.Apply(now, copy.routes);
-  flows.OnDirectoryRead(now, copy.at);
+  flows.OnDirectoryRead(now, copy.at, StoreRevision(copy.revision));
 }
 
 void SteeringWorld::Balancer::RunTimers() {
