Agents leave all flows of their targets to their next process at a planned stop

Cause: an agent that started after its target does not know its flows. It is unsure for a flow's lifetime (60 s), so after a series of planned restarts nearly all agents are. A balancer that searches a flow offers the packets to the targets of unsure agents, up to eight at once, and each balancer that gets one of the client's packets does so again. While the flow's own agent is away, all of these go astray.

The fix: a process that ends as planned, and knows all flows, writes them all after it has begun to refuse SYNs, with the revision of its entry. The next process adopts them and denies all others, as one that saw its target's start does. It removes the record before it counts as complete, and the record counts for 3 s and only while the entry is that of its writer, so that a process in between, also one of an earlier build, makes it incomplete. Flows that were opening are recorded as such and left to the target. A planned restart costs two writes and a read more.

Neighbouring builds: earlier ones ignore the new fields (FlowRecord 4 and 5, RecordedFlow 4) and leave none; their records count as incomplete, as before.

--- a/packages/flow_location/include/flow_location/flow_record_policy.h
+++ b/packages/flow_location/include/flow_location/flow_record_policy.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 #include "core/endpoint.h"
@@ -11,6 +12,23 @@
 
 namespace sesamesaddle {
 
+/**
+ * A complete record counts for this time after it was made. It bounds the time
+ * in which a process whose writes do not reach the store may open flows that
+ * the record lacks, and end before it can replace it.
+ */
+constexpr Duration kCompleteRecordValidity = std::chrono::seconds(3);
+
+/**
+ * Whether the record has all flows that its target held when the process that
+ * wrote it ended.
+ * @param now_ms  Unix time in milliseconds at the start of the next process
+ * @param entry_revision  store revision of the agent's entry then, if there is
+ *        one
+ */
+bool HasAllFlows(const schema::FlowRecord& record, int64_t now_ms,
+                 std::optional<int64_t> entry_revision);
+
 /**
  * Decides when an agent writes the record of its target's open flows to the
  * store. The record only matters after a power loss, so it may lag behind: the
--- a/packages/flow_location/src/flow_record_policy.cc
+++ b/packages/flow_location/src/flow_record_policy.cc
@@ -7,6 +7,16 @@
 
 namespace sesamesaddle {
 
+bool HasAllFlows(const schema::FlowRecord& record, int64_t now_ms,
+                 std::optional<int64_t> entry_revision) {
+  if (!record.__isset.complete_at_ms || !record.__isset.entry_revision) {
+    return false;
+  }
+  if (entry_revision != record.entry_revision) return false;
+  const std::chrono::milliseconds age(now_ms - record.complete_at_ms);
+  return age >= Duration::zero() && age <= kCompleteRecordValidity;
+}
+
 Duration FlowRecordPolicy::Interval(size_t agents) const {
   return std::max(kMinInterval,
                   ShareInterval(writes_per_second_ * kWriteShare, agents));
--- a/packages/registry/include/registry/leased_value.h
+++ b/packages/registry/include/registry/leased_value.h
@@ -33,6 +33,12 @@
    * @param done  called with the value, or with nothing if there is none
    */
   void Recall(std::function<void(std::optional<std::string>)> done);
+  /**
+   * Removes the value that was recalled, so that no later incarnation recalls
+   * it again.
+   * @param done  called with whether the store has acknowledged that
+   */
+  void Discard(std::function<void(bool)> done);
   /**
    * Writes the value. Does nothing before the recall has ended, without a
    * lease, or while another write is in flight.
--- a/packages/registry/include/registry/registration.h
+++ b/packages/registry/include/registry/registration.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/event_log.h"
@@ -59,6 +60,14 @@
   bool published() const {
     return entry_present_ && acknowledged_value_ == desired_value_;
   }
+  /**
+   * Reads the revision of the stored entry, which may be of another
+   * incarnation.
+   * @param done  called with nothing if there is no entry or the call failed
+   */
+  void ReadRevision(std::function<void(std::optional<KeyVersion>)> done);
+  /** Returns the revision of the entry as it was written last. */
+  KeyVersion revision() const { return version_; }
   /** Returns the lease of the entry; kNoLease if there is none. */
   LeaseId lease() const { return lease_; }
   /** Returns whether the last call to the store failed. */
--- a/packages/registry/src/leased_value.cc
+++ b/packages/registry/src/leased_value.cc
@@ -42,6 +42,21 @@
   });
 }
 
+void LeasedValue::Discard(std::function<void(bool)> done) {
+  write_in_flight_ = true;
+  std::weak_ptr<CallbackGuard> guard = callback_guard_;
+  store_.Remove(key_, [this, guard, done = std::move(done)](auto removed) {
+    if (guard.expired()) return;
+    write_in_flight_ = false;
+    if (removed) {
+      version_ = KeyVersion();
+      done(true);
+    } else {
+      OnWriteFailed(removed.error(), done);
+    }
+  });
+}
+
 bool LeasedValue::writable() const {
   return recalled_ && !write_in_flight_ && registration_.published() &&
          !registration_.store_failed();
--- a/packages/registry/src/registration.cc
+++ b/packages/registry/src/registration.cc
@@ -47,6 +47,15 @@
   if (!store_failed_) Step();
 }
 
+void Registration::ReadRevision(
+    std::function<void(std::optional<KeyVersion>)> done) {
+  std::weak_ptr<CallbackGuard> guard = callback_guard_;
+  store_.Read(key_, [guard, done = std::move(done)](auto item) {
+    if (guard.expired()) return;
+    done(item ? std::optional(KeyVersion(item->version)) : std::nullopt);
+  });
+}
+
 void Registration::Step() {
   if (!publishing_ || call_in_flight_) return;
   if (lease_ == kNoLease) {
--- a/packages/registry/tests/leased_value_test.cc
+++ b/packages/registry/tests/leased_value_test.cc
@@ -68,6 +68,25 @@
   int recalls = 0;
 };
 
+TEST_CASE("A discarded value is not recalled again and can be replaced") {
+  LeasedValueFixture f;
+  f.scheduler.RunFor(milliseconds(100));
+  REQUIRE(f.Write("one") == 1);
+  f.Start();
+  f.scheduler.RunFor(milliseconds(100));
+  REQUIRE(f.recalled == "one");
+  bool discarded = false;
+  f.value->Discard([&](bool done) { discarded = done; });
+  CHECK_FALSE(f.value->writable());
+  f.scheduler.RunFor(milliseconds(100));
+  CHECK(discarded);
+  f.Start();
+  f.scheduler.RunFor(milliseconds(100));
+  CHECK_FALSE(f.recalled.has_value());
+  CHECK(f.Write("two") == 1);
+  CHECK(f.Stored() == "two");
+}
+
 TEST_CASE("A value is recalled by the next incarnation and can be replaced") {
   LeasedValueFixture f;
   f.scheduler.RunFor(milliseconds(100));
--- a/packages/schema/gen/steering_types.cpp
+++ b/packages/schema/gen/steering_types.cpp
@@ -1642,6 +1642,11 @@
   this->runs_once = val;
 __isset.runs_once = true;
 }
+
+void RecordedFlow::__set_opening(const bool val) {
+  this->opening = val;
+__isset.opening = true;
+}
 std::ostream& operator<<(std::ostream& out, const RecordedFlow& obj)
 {
   obj.printTo(out);
@@ -1696,6 +1701,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->opening);
+          this->__isset.opening = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1730,6 +1743,11 @@
     xfer += oprot->writeBool(this->runs_once);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.opening) {
+    xfer += oprot->writeFieldBegin("opening", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->opening);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1740,6 +1758,7 @@
   swap(a.flow, b.flow);
   swap(a.acknowledged, b.acknowledged);
   swap(a.runs_once, b.runs_once);
+  swap(a.opening, b.opening);
   swap(a.__isset, b.__isset);
 }
 
@@ -1747,18 +1766,21 @@
   flow = other52.flow;
   acknowledged = other52.acknowledged;
   runs_once = other52.runs_once;
+  opening = other52.opening;
   __isset = other52.__isset;
 }
 RecordedFlow::RecordedFlow(RecordedFlow&& other53) noexcept {
   flow = std::move(other53.flow);
   acknowledged = other53.acknowledged;
   runs_once = other53.runs_once;
+  opening = other53.opening;
   __isset = other53.__isset;
 }
 RecordedFlow& RecordedFlow::operator=(const RecordedFlow& other54) noexcept {
   flow = other54.flow;
   acknowledged = other54.acknowledged;
   runs_once = other54.runs_once;
+  opening = other54.opening;
   __isset = other54.__isset;
   return *this;
 }
@@ -1766,6 +1788,7 @@
   flow = std::move(other55.flow);
   acknowledged = other55.acknowledged;
   runs_once = other55.runs_once;
+  opening = other55.opening;
   __isset = other55.__isset;
   return *this;
 }
@@ -1775,6 +1798,7 @@
   out << "flow=" << to_string(flow);
   out << ", " << "acknowledged=" << to_string(acknowledged);
   out << ", " << "runs_once="; (__isset.runs_once ? (out << to_string(runs_once)) : (out << "<null>"));
+  out << ", " << "opening="; (__isset.opening ? (out << to_string(opening)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1794,6 +1818,16 @@
 void FlowRecord::__set_flows(const std::vector<RecordedFlow> & val) {
   this->flows = val;
 }
+
+void FlowRecord::__set_complete_at_ms(const int64_t val) {
+  this->complete_at_ms = val;
+__isset.complete_at_ms = true;
+}
+
+void FlowRecord::__set_entry_revision(const int64_t val) {
+  this->entry_revision = val;
+__isset.entry_revision = true;
+}
 std::ostream& operator<<(std::ostream& out, const FlowRecord& obj)
 {
   obj.printTo(out);
@@ -1861,6 +1895,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->complete_at_ms);
+          this->__isset.complete_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->entry_revision);
+          this->__isset.entry_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1904,6 +1954,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.complete_at_ms) {
+    xfer += oprot->writeFieldBegin("complete_at_ms", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->complete_at_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.entry_revision) {
+    xfer += oprot->writeFieldBegin("entry_revision", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->entry_revision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1914,28 +1974,43 @@
   swap(a.target_id, b.target_id);
   swap(a.born_ms, b.born_ms);
   swap(a.flows, b.flows);
+  swap(a.complete_at_ms, b.complete_at_ms);
+  swap(a.entry_revision, b.entry_revision);
+  swap(a.__isset, b.__isset);
 }
 
 FlowRecord::FlowRecord(const FlowRecord& other62) {
   target_id = other62.target_id;
   born_ms = other62.born_ms;
   flows = other62.flows;
+  complete_at_ms = other62.complete_at_ms;
+  entry_revision = other62.entry_revision;
+  __isset = other62.__isset;
 }
 FlowRecord::FlowRecord(FlowRecord&& other63) noexcept {
   target_id = std::move(other63.target_id);
   born_ms = other63.born_ms;
   flows = std::move(other63.flows);
+  complete_at_ms = other63.complete_at_ms;
+  entry_revision = other63.entry_revision;
+  __isset = other63.__isset;
 }
 FlowRecord& FlowRecord::operator=(const FlowRecord& other64) {
   target_id = other64.target_id;
   born_ms = other64.born_ms;
   flows = other64.flows;
+  complete_at_ms = other64.complete_at_ms;
+  entry_revision = other64.entry_revision;
+  __isset = other64.__isset;
   return *this;
 }
 FlowRecord& FlowRecord::operator=(FlowRecord&& other65) noexcept {
   target_id = std::move(other65.target_id);
   born_ms = other65.born_ms;
   flows = std::move(other65.flows);
+  complete_at_ms = other65.complete_at_ms;
+  entry_revision = other65.entry_revision;
+  __isset = other65.__isset;
   return *this;
 }
 void FlowRecord::printTo(std::ostream& out) const {
@@ -1944,6 +2019,8 @@
   out << "target_id=" << to_string(target_id);
   out << ", " << "born_ms=" << to_string(born_ms);
   out << ", " << "flows=" << to_string(flows);
+  out << ", " << "complete_at_ms="; (__isset.complete_at_ms ? (out << to_string(complete_at_ms)) : (out << "<null>"));
+  out << ", " << "entry_revision="; (__isset.entry_revision ? (out << to_string(entry_revision)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/schema/gen/steering_types.h
+++ b/packages/schema/gen/steering_types.h
@@ -551,8 +551,9 @@
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj);
 
 typedef struct _RecordedFlow__isset {
-  _RecordedFlow__isset() : runs_once(true) {}
+  _RecordedFlow__isset() : runs_once(true), opening(true) {}
   bool runs_once :1;
+  bool opening :1;
 } _RecordedFlow__isset;
 
 class RecordedFlow : public virtual ::apache::thrift::TBase {
@@ -564,13 +565,15 @@
   RecordedFlow& operator=(RecordedFlow&&) noexcept;
   RecordedFlow() noexcept
                : acknowledged(0),
-                 runs_once(false) {
+                 runs_once(false),
+                 opening(false) {
   }
 
   virtual ~RecordedFlow() noexcept;
    ::sesamesaddle::schema::FlowKey flow;
   int32_t acknowledged;
   bool runs_once;
+  bool opening;
 
   _RecordedFlow__isset __isset;
 
@@ -580,6 +583,8 @@
 
   void __set_runs_once(const bool val);
 
+  void __set_opening(const bool val);
+
   bool operator == (const RecordedFlow & rhs) const
   {
     if (!(flow == rhs.flow))
@@ -590,6 +595,10 @@
       return false;
     else if (__isset.runs_once && !(runs_once == rhs.runs_once))
       return false;
+    if (__isset.opening != rhs.__isset.opening)
+      return false;
+    else if (__isset.opening && !(opening == rhs.opening))
+      return false;
     return true;
   }
   bool operator != (const RecordedFlow &rhs) const {
@@ -608,6 +617,11 @@
 
 std::ostream& operator<<(std::ostream& out, const RecordedFlow& obj);
 
+typedef struct _FlowRecord__isset {
+  _FlowRecord__isset() : complete_at_ms(false), entry_revision(false) {}
+  bool complete_at_ms :1;
+  bool entry_revision :1;
+} _FlowRecord__isset;
 
 class FlowRecord : public virtual ::apache::thrift::TBase {
  public:
@@ -618,13 +632,19 @@
   FlowRecord& operator=(FlowRecord&&) noexcept;
   FlowRecord() noexcept
              : target_id(),
-               born_ms(0) {
+               born_ms(0),
+               complete_at_ms(0),
+               entry_revision(0) {
   }
 
   virtual ~FlowRecord() noexcept;
   std::string target_id;
   int64_t born_ms;
   std::vector<RecordedFlow>  flows;
+  int64_t complete_at_ms;
+  int64_t entry_revision;
+
+  _FlowRecord__isset __isset;
 
   void __set_target_id(const std::string& val);
 
@@ -632,6 +652,10 @@
 
   void __set_flows(const std::vector<RecordedFlow> & val);
 
+  void __set_complete_at_ms(const int64_t val);
+
+  void __set_entry_revision(const int64_t val);
+
   bool operator == (const FlowRecord & rhs) const
   {
     if (!(target_id == rhs.target_id))
@@ -640,6 +664,14 @@
       return false;
     if (!(flows == rhs.flows))
       return false;
+    if (__isset.complete_at_ms != rhs.__isset.complete_at_ms)
+      return false;
+    else if (__isset.complete_at_ms && !(complete_at_ms == rhs.complete_at_ms))
+      return false;
+    if (__isset.entry_revision != rhs.__isset.entry_revision)
+      return false;
+    else if (__isset.entry_revision && !(entry_revision == rhs.entry_revision))
+      return false;
     return true;
   }
   bool operator != (const FlowRecord &rhs) const {
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -114,6 +114,9 @@
   2: required i32 acknowledged
   // Its route's requests must run at most once.
   3: optional bool runs_once = false
+  // Its client had not shown yet that it opened the flow at this target; only
+  // in a complete record.
+  4: optional bool opening = false
 }
 
 // The open flows of a target. Its agent keeps this record in the store for its
@@ -123,6 +126,13 @@
   // Start time of the target in Unix milliseconds, as in TargetRecord.
   2: required i64 born_ms
   3: required list<RecordedFlow> flows
+  // Unix time in milliseconds at which the record had all flows of the target;
+  // the writer let no later ones open before its planned end. Absent if the
+  // record may lack some, as do those of earlier builds.
+  4: optional i64 complete_at_ms
+  // Store revision of the writer's entry then, set with complete_at_ms. A later
+  // process that let flows open has written another entry.
+  5: optional i64 entry_revision
 }
 
 // Limit of new flows to a target in its slow start, from the configuration.
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -204,14 +204,25 @@
    * process. Young flows and those that an end has closed are left out.
    */
   schema::FlowRecord RecordFlows(TimePoint now) const;
+  /**
+   * Returns all flows that the target holds or may hold, for the next
+   * incarnation of a process that is stopping; nothing if this process may not
+   * know them all.
+   * @param now_ms  Unix time in milliseconds
+   * @param entry_revision  store revision of this process's entry
+   */
+  std::optional<schema::FlowRecord> RecordAllFlows(
+      TimePoint now, int64_t now_ms, int64_t entry_revision) const;
   /**
    * Takes the record that an earlier incarnation of this process left. Once
    * another target than the recorded one has announced itself, the recorded
    * flows are reset, as no target holds them: their clients can open new ones
    * before they send the next request. If the recorded target still runs, its
    * flows stay as they are.
+   * @param complete  whether that target can hold no flows but the recorded
+   *        ones and those that this process has seen
    */
-  void Recall(TimePoint now, schema::FlowRecord record);
+  void Recall(TimePoint now, schema::FlowRecord record, bool complete = false);
   /** Returns the approximate number of agents, from the balancers' pace. */
   size_t EstimateAgentCount() const;
   /** Sends due reports and drops expired flows; called every kReportPeriod. */
@@ -255,6 +266,8 @@
   struct FlowEntry {
     FlowState state = FlowState::kOpening;
     bool sequence_known = false;
+    /** Recalled as a flow that may be open at the target. */
+    bool recalled_opening = false;
     bool request_in_flight = false;
     /** The client's first request is expected and counts as work. */
     bool request_expected = false;
@@ -424,7 +437,12 @@
   void ReleaseWork(FlowEntry& entry);
   void ExpireExpectedRequests(TimePoint now);
   void Erase(FlowMap::iterator it);
+  /** Whether the target can hold no flow that this process does not know. */
   bool TracksAllFlows(TimePoint now) const;
+  /** Returns an empty record of the current target. */
+  schema::FlowRecord MakeRecord() const;
+  static schema::RecordedFlow MakeRecordedFlow(const Flow& flow,
+                                               const FlowEntry& entry);
   BalancerState& RecordContact(TimePoint now, const Endpoint& balancer);
   /** Like RecordContact, and schedules an urgent report to the balancer. */
   BalancerState& RecordUrgentContact(TimePoint now, const Endpoint& balancer);
@@ -489,6 +507,7 @@
   /** The record of an earlier incarnation, until its target is identified. */
   std::optional<schema::FlowRecord> recalled_;
   TimePoint recalled_at_{};
+  bool recalled_completely_ = false;
   /** When the flows that still wait for an answer of the target are reset. */
   std::optional<TimePoint> reset_unanswered_at_;
   /**
@@ -496,6 +515,11 @@
    * flows of the target.
    */
   bool saw_target_start_ = false;
+  /**
+   * An earlier process that knew all flows of the target has left them to this
+   * one.
+   */
+  bool inherited_all_flows_ = false;
   /** When this process learned of the target's present start. */
   std::optional<TimePoint> target_known_since_;
   bool stopping_ = false;
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -179,7 +179,7 @@
     if (!entry.sequence_known || ahead > 1) {
       // The client opened the flow at another target, unless it did so here
       // before this process started, which then saw a late copy of the SYN.
-      if (TracksAllFlows(now)) {
+      if (TracksAllFlows(now) && !entry.recalled_opening) {
         ReplyNotHeld(now, balancer, flow, offered, packet, size);
       } else {
         LetTargetDecide(now, header, balancer, packet, size);
@@ -466,7 +466,8 @@
 }
 
 bool FlowAgent::TracksAllFlows(TimePoint now) const {
-  return saw_target_start_ || now - started_ > options_.flow_lifetime;
+  return saw_target_start_ || inherited_all_flows_ ||
+         now - started_ > options_.flow_lifetime;
 }
 
 uint32_t FlowAgent::EncodeEcho(const Endpoint& balancer, bool offered) {
--- a/packages/steering/src/flow_agent_records.cc
+++ b/packages/steering/src/flow_agent_records.cc
@@ -14,21 +14,50 @@
 
 }  // namespace
 
-schema::FlowRecord FlowAgent::RecordFlows(TimePoint now) const {
+schema::FlowRecord FlowAgent::MakeRecord() const {
   schema::FlowRecord record;
   record.target_id = target_monitor_.announcement().id;
   record.born_ms = target_monitor_.announcement().born_ms;
+  return record;
+}
+
+schema::RecordedFlow FlowAgent::MakeRecordedFlow(const Flow& flow,
+                                                 const FlowEntry& entry) {
+  schema::RecordedFlow recorded;
+  recorded.flow = ToKey(flow);
+  recorded.acknowledged = static_cast<int32_t>(entry.client_acknowledged);
+  recorded.__set_runs_once(entry.runs_once);
+  return recorded;
+}
+
+schema::FlowRecord FlowAgent::RecordFlows(TimePoint now) const {
+  schema::FlowRecord record = MakeRecord();
   for (const auto& [flow, entry] : flows_) {
     if (entry.state != FlowState::kOpen || entry.client_ended ||
         entry.target_ended || now - entry.opened < kMinRecordedAge) {
       continue;
     }
     if (record.flows.size() >= kMaxRecordedFlows) break;
-    schema::RecordedFlow recorded;
-    recorded.flow = ToKey(flow);
-    recorded.acknowledged = static_cast<int32_t>(entry.client_acknowledged);
-    recorded.__set_runs_once(entry.runs_once);
-    record.flows.push_back(std::move(recorded));
+    record.flows.push_back(MakeRecordedFlow(flow, entry));
+  }
+  return record;
+}
+
+std::optional<schema::FlowRecord> FlowAgent::RecordAllFlows(
+    TimePoint now, int64_t now_ms, int64_t entry_revision) const {
+  // The queue is empty and stays so, as a stopping process refuses SYNs.
+  if (!stopping_ || !queue_.empty() || !TracksAllFlows(now)) {
+    return std::nullopt;
+  }
+  if (!target_monitor_.known() || target_monitor_.gone()) return std::nullopt;
+  schema::FlowRecord record = MakeRecord();
+  record.__set_complete_at_ms(now_ms);
+  record.__set_entry_revision(entry_revision);
+  for (const auto& [flow, entry] : flows_) {
+    if (entry.state == FlowState::kEnded) continue;
+    if (record.flows.size() >= kMaxRecordedFlows) return std::nullopt;
+    record.flows.push_back(MakeRecordedFlow(flow, entry));
+    record.flows.back().__set_opening(entry.state == FlowState::kOpening);
   }
   return record;
 }
@@ -44,10 +73,12 @@
          1;
 }
 
-void FlowAgent::Recall(TimePoint now, schema::FlowRecord record) {
+void FlowAgent::Recall(TimePoint now, schema::FlowRecord record,
+                       bool complete) {
   target_monitor_.Recall(record.target_id, record.born_ms);
   recalled_ = std::move(record);
   recalled_at_ = now;
+  recalled_completely_ = complete;
   ResolveRecall(now);
 }
 
@@ -65,6 +96,7 @@
       .Add("recorded_target", recalled_->target_id)
       .Add("target", current.id)
       .Add("flows", recalled_->flows.size())
+      .Add("complete", recalled_completely_ ? 1 : 0)
       .Add("age", now - recalled_at_)
       .Add("reset", living ? 0 : 1);
   if (living) {
@@ -80,12 +112,14 @@
     const auto [it, added] = flows_.try_emplace(FromKey(recorded.flow));
     if (!added) continue;
     FlowEntry& entry = it->second;
-    entry.state = FlowState::kOpen;
+    entry.state = recorded.opening ? FlowState::kOpening : FlowState::kOpen;
+    entry.recalled_opening = recorded.opening;
     entry.runs_once = recorded.runs_once;
     entry.client_acknowledged = static_cast<uint32_t>(recorded.acknowledged);
     entry.opened = now;
     entry.last_packet = now;
   }
+  inherited_all_flows_ = recalled_completely_;
 }
 
 void FlowAgent::AnswerOffer(TimePoint now, const Flow& flow) {
@@ -99,7 +133,7 @@
   for (const schema::RecordedFlow& recorded : recalled_->flows) {
     const Flow flow = FromKey(recorded.flow);
     // A flow that this process has seen is one that the client opened since.
-    if (flows_.count(flow) != 0) continue;
+    if (recorded.opening || flows_.count(flow) != 0) continue;
     ++counters_.resets_recalled;
     FlowEntry entry;
     entry.client_acknowledged = static_cast<uint32_t>(recorded.acknowledged);
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -149,10 +149,12 @@
   for (auto it = flows_.begin(); it != flows_.end();) {
     const FlowEntry& entry = it->second;
     const Duration idle = now - entry.last_packet;
-    const Duration limit =
-        entry.state == FlowState::kEnded     ? kEndedFlowRetention
-        : entry.state == FlowState::kOpening ? kOpeningTimeout
-                                             : options_.flow_lifetime;
+    const bool opening =
+        entry.state == FlowState::kOpening && !entry.recalled_opening;
+    const Duration limit = entry.state == FlowState::kEnded
+                               ? kEndedFlowRetention
+                           : opening ? kOpeningTimeout
+                                     : options_.flow_lifetime;
     const auto next = std::next(it);
     if (entry.request_in_flight && now - entry.request_sent > kMaxRequestTime) {
       EndRequest(it->second);
--- a/packages/steering_daemon/include/steering_daemon/agent_process.h
+++ b/packages/steering_daemon/include/steering_daemon/agent_process.h
@@ -50,7 +50,10 @@
                 const schema::AgentNotice& notice);
   bool MatchesService(const std::string& service);
   void PublishTarget();
+  /** Takes the record that the process before this one has left. */
   void RecallFlows();
+  /** Takes a record that was complete when its process ended. */
+  void TakeCompleteRecord(schema::FlowRecord record);
   /** Writes the record of the target's flows if it is due. */
   void RecordFlows();
   void Flush();
@@ -60,6 +63,11 @@
   void RunHousekeeping();
   void BeginStop();
   void AdvanceStop();
+  /**
+   * Writes the record of all flows for the next process, if this one knows them
+   * all, and ends the event loop.
+   */
+  void StopWithRecord();
   tl::expected<schema::Table, std::string> BuildTable(
       Subject subject) const override;
   MetricValues CollectMetrics() const;
@@ -88,6 +96,8 @@
   TimePoint report_due_{};
   bool stopping_ = false;
   TimePoint stop_began_{};
+  /** The record for the next process was sent to the store. */
+  bool leaving_record_ = false;
   int64_t announcements_ = 0;
   int64_t invalid_announcements_ = 0;
   int64_t malformed_control_ = 0;
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/time.h"
 #include "schema/codec.h"
 #include "schema/readable_json.h"
 #include "steering_daemon/control_message.h"
@@ -227,11 +228,34 @@
           .Add("bytes", value->size());
       return;
     }
-    agent_.Recall(deps_.loop.Now(), std::move(*record));
+    if (record->__isset.complete_at_ms) {
+      TakeCompleteRecord(*std::move(record));
+      return;
+    }
+    agent_.Recall(deps_.loop.Now(), *std::move(record));
     Flush();
   });
 }
 
+void AgentProcess::TakeCompleteRecord(schema::FlowRecord record) {
+  const int64_t now_ms = WallClockMs();
+  registration_.ReadRevision([this, record = std::move(record),
+                              now_ms](std::optional<KeyVersion> entry) {
+    const auto recall = [this, record](bool complete) {
+      agent_.Recall(deps_.loop.Now(), record, complete);
+      Flush();
+    };
+    const auto revision = entry ? std::optional(entry->value()) : std::nullopt;
+    if (!HasAllFlows(record, now_ms, revision)) {
+      recall(false);
+      return;
+    }
+    // The next process must not take it for complete again, as this one opens
+    // further flows.
+    flow_record_.Discard(recall);
+  });
+}
+
 void AgentProcess::RecordFlows() {
   if (!flow_record_.writable() || agent_.target_monitor().gone()) return;
   if (flow_record_.lost()) record_policy_.OnFailed();
@@ -306,9 +330,12 @@
 
 void AgentProcess::RunHousekeeping() {
   ReloadSettings(deps_.signals.reload.exchange(false));
-  RecordFlows();
   if (deps_.signals.stop && !stopping_) BeginStop();
-  if (stopping_) AdvanceStop();
+  if (stopping_) {
+    AdvanceStop();
+  } else {
+    RecordFlows();
+  }
 }
 
 void AgentProcess::BeginStop() {
@@ -331,7 +358,27 @@
   // during the restart of this process, so a shorter stop is better for
   // callers.
   const bool idle = agent_.target_monitor().gone() || agent_.in_flight() == 0;
-  if (idle || since > kMaxStopTime) deps_.loop.Stop();
+  if (leaving_record_) {
+    deps_.loop.Stop();  // The store has not answered.
+  } else if (idle || since > kMaxStopTime) {
+    StopWithRecord();
+  }
+}
+
+void AgentProcess::StopWithRecord() {
+  const auto record = agent_.RecordAllFlows(deps_.loop.Now(), WallClockMs(),
+                                            registration_.revision().value());
+  if (!record || !flow_record_.writable()) {
+    deps_.loop.Stop();
+    return;
+  }
+  leaving_record_ = true;
+  flow_record_.Write(EncodeCompact(*record), [this, record](bool written) {
+    LogLine(deps_.log, EventKind::kStateChange, kLogComponent, "record-left")
+        .Add("flows", record->flows.size())
+        .Add("written", written ? 1 : 0);
+    deps_.loop.Stop();
+  });
 }
 
 MetricValues AgentProcess::CollectMetrics() const {
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -320,7 +320,19 @@
   /** Ends a stopping agent as soon as it may, then starts the next one. */
   void AdvanceAgentStop(size_t i, const Agent* stopping, TimePoint began,
                         Duration gap, Duration announcement);
-  void StartAgentBesideTarget(size_t i, Duration announcement);
+  /** Returns the store's revision of the target's entry, if it is listed. */
+  std::optional<int64_t> EntryRevision(size_t i) const {
+    const auto it = listed_.find(i);
+    return it == listed_.end() ? std::nullopt : std::optional(it->second);
+  }
+  /** @param record  left by the agent's process that ended as planned */
+  void StartAgentBesideTarget(
+      size_t i, Duration announcement,
+      const std::optional<schema::FlowRecord>& record = std::nullopt);
+  /** Returns the simulated time as Unix time in milliseconds. */
+  int64_t WallClockMs() const {
+    return scheduler.Now().time_since_epoch() / std::chrono::milliseconds(1);
+  }
   void Tick();
   /** Counts a reset, and records it if its flow is open at both ends. */
   void OnReset(std::string_view packet, const std::string& sender);
--- a/tests/support/steering_world_faults.cc
+++ b/tests/support/steering_world_faults.cc
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "flow_location/flow_record_policy.h"
 #include "steering_world_processes.h"
 
 namespace sesamesaddle {
@@ -83,8 +84,14 @@
     });
     return;
   }
+  std::optional<schema::FlowRecord> record;
+  if (const auto revision = EntryRevision(i)) {
+    record = stopping->flows.RecordAllFlows(scheduler.Now(), WallClockMs(),
+                                            *revision);
+  }
   KillAgent(i);
-  scheduler.After(gap, [=] { StartAgentBesideTarget(i, announcement); });
+  scheduler.After(gap,
+                  [=] { StartAgentBesideTarget(i, announcement, record); });
 }
 
 void SteeringWorld::CrashAgent(size_t i, Duration gap, Duration announcement) {
@@ -92,9 +99,20 @@
   scheduler.After(gap, [=] { StartAgentBesideTarget(i, announcement); });
 }
 
-void SteeringWorld::StartAgentBesideTarget(size_t i, Duration announcement) {
+void SteeringWorld::StartAgentBesideTarget(
+    size_t i, Duration announcement,
+    const std::optional<schema::FlowRecord>& record) {
   if (agents_[i] != nullptr || !machines_[i].powered) return;
   StartAgent(i);
+  if (record) {
+    const bool complete = HasAllFlows(*record, WallClockMs(), EntryRevision(i));
+    Agent* agent = agents_[i].get();
+    // It reads the record and removes it.
+    scheduler.After(2 * kStoreRoundTrip, [=, record = *record] {
+      if (agents_[i].get() != agent) return;
+      agent->flows.Recall(scheduler.Now(), record, complete);
+    });
+  }
   scheduler.After(announcement, [this, i] {
     if (agents_[i] != nullptr && targets[i]->alive) Announce(i);
   });
