A notice of a slow start limit names the service that it is for

Callers would have waited for, or been refused by, a target that applies the limit of another service: an address is used again for it, and a notice to the agent that had the address before arrives at the new one.

Packets to an agent are checked for their service, since an address tells nothing about who has it now, but a notice of the limit was taken by whoever got it.

Evidence: "A notice for another service sets no limit" (flow_agent_slow_start_test) fails without the check (room 2 reported, none expected) and passes with it.

The fix: the notice has a field for the service (AgentNotice 5); an agent of another one refuses it and logs that. Notices of earlier builds name none and are taken as before; earlier agents ignore the field.

--- a/packages/schema/gen/steering_types.cpp
+++ b/packages/schema/gen/steering_types.cpp
@@ -2320,6 +2320,11 @@
   this->entry_missing = val;
 __isset.entry_missing = true;
 }
+
+void AgentNotice::__set_service_name(const std::string& val) {
+  this->service_name = val;
+__isset.service_name = true;
+}
 std::ostream& operator<<(std::ostream& out, const AgentNotice& obj)
 {
   obj.printTo(out);
@@ -2381,6 +2386,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2419,6 +2432,11 @@
     xfer += this->entry_missing.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.service_name) {
+    xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->service_name);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2430,6 +2448,7 @@
   swap(a.slow_start, b.slow_start);
   swap(a.configuration_version, b.configuration_version);
   swap(a.entry_missing, b.entry_missing);
+  swap(a.service_name, b.service_name);
   swap(a.__isset, b.__isset);
 }
 
@@ -2438,6 +2457,7 @@
   slow_start = other74.slow_start;
   configuration_version = other74.configuration_version;
   entry_missing = other74.entry_missing;
+  service_name = other74.service_name;
   __isset = other74.__isset;
 }
 AgentNotice::AgentNotice(AgentNotice&& other75) noexcept {
@@ -2445,6 +2465,7 @@
   slow_start = std::move(other75.slow_start);
   configuration_version = other75.configuration_version;
   entry_missing = std::move(other75.entry_missing);
+  service_name = std::move(other75.service_name);
   __isset = other75.__isset;
 }
 AgentNotice& AgentNotice::operator=(const AgentNotice& other76) {
@@ -2452,6 +2473,7 @@
   slow_start = other76.slow_start;
   configuration_version = other76.configuration_version;
   entry_missing = other76.entry_missing;
+  service_name = other76.service_name;
   __isset = other76.__isset;
   return *this;
 }
@@ -2460,6 +2482,7 @@
   slow_start = std::move(other77.slow_start);
   configuration_version = other77.configuration_version;
   entry_missing = std::move(other77.entry_missing);
+  service_name = std::move(other77.service_name);
   __isset = other77.__isset;
   return *this;
 }
@@ -2470,6 +2493,7 @@
   out << ", " << "slow_start="; (__isset.slow_start ? (out << to_string(slow_start)) : (out << "<null>"));
   out << ", " << "configuration_version=" << to_string(configuration_version);
   out << ", " << "entry_missing="; (__isset.entry_missing ? (out << to_string(entry_missing)) : (out << "<null>"));
+  out << ", " << "service_name="; (__isset.service_name ? (out << to_string(service_name)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/schema/gen/steering_types.h
+++ b/packages/schema/gen/steering_types.h
@@ -787,10 +787,11 @@
 std::ostream& operator<<(std::ostream& out, const EntryRemoval& obj);
 
 typedef struct _AgentNotice__isset {
-  _AgentNotice__isset() : zone(false), slow_start(false), entry_missing(false) {}
+  _AgentNotice__isset() : zone(false), slow_start(false), entry_missing(false), service_name(false) {}
   bool zone :1;
   bool slow_start :1;
   bool entry_missing :1;
+  bool service_name :1;
 } _AgentNotice__isset;
 
 class AgentNotice : public virtual ::apache::thrift::TBase {
@@ -801,7 +802,8 @@
   AgentNotice& operator=(const AgentNotice&);
   AgentNotice& operator=(AgentNotice&&) noexcept;
   AgentNotice() noexcept
-              : configuration_version(0) {
+              : configuration_version(0),
+                service_name() {
   }
 
   virtual ~AgentNotice() noexcept;
@@ -809,6 +811,7 @@
   SlowStartLimit slow_start;
   int64_t configuration_version;
   EntryRemoval entry_missing;
+  std::string service_name;
 
   _AgentNotice__isset __isset;
 
@@ -820,6 +823,8 @@
 
   void __set_entry_missing(const EntryRemoval& val);
 
+  void __set_service_name(const std::string& val);
+
   bool operator == (const AgentNotice & rhs) const
   {
     if (__isset.zone != rhs.__isset.zone)
@@ -836,6 +841,10 @@
       return false;
     else if (__isset.entry_missing && !(entry_missing == rhs.entry_missing))
       return false;
+    if (__isset.service_name != rhs.__isset.service_name)
+      return false;
+    else if (__isset.service_name && !(service_name == rhs.service_name))
+      return false;
     return true;
   }
   bool operator != (const AgentNotice &rhs) const {
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -163,6 +163,9 @@
   3: required i64 configuration_version
   // The store no longer lists the agent's entry; absent if it does.
   4: optional EntryRemoval entry_missing
+  // Service of slow_start. Another process may have the agent's address by now.
+  // Absent in notices of earlier builds.
+  5: optional string service_name
 }
 
 // Sent by a balancer to locate the targets that hold the flows; agents respond
--- a/packages/steering/src/flow_agent_slow_start.cc
+++ b/packages/steering/src/flow_agent_slow_start.cc
@@ -62,6 +62,13 @@
 
 bool FlowAgent::ApplySlowStart(TimePoint now, const Endpoint& balancer,
                                const schema::AgentNotice& notice) {
+  if (notice.__isset.service_name && notice.service_name != service()) {
+    LogLine(log_, EventKind::kMalformedInput, kLogComponent, "notice-refused")
+        .Add("balancer", balancer)
+        .Add("service", notice.service_name)
+        .Add("own_service", service());
+    return false;
+  }
   const int64_t version = notice.configuration_version;
   const bool has_limit = notice.__isset.slow_start;
   const schema::SlowStartLimit& limit = notice.slow_start;
--- a/packages/steering/src/flow_balancer_notices.cc
+++ b/packages/steering/src/flow_balancer_notices.cc
@@ -185,6 +185,7 @@
     notice.__set_zone(*zone);
   }
   notice.configuration_version = routes_.version;
+  notice.__set_service_name(agent.record.service_name);
   if (const auto* limit = routes_.FindSlowStart(agent.record.service_name)) {
     notice.__set_slow_start(ToMessage(*limit, routes_.version));
   }
--- a/packages/steering/tests/flow_agent_slow_start_test.cc
+++ b/packages/steering/tests/flow_agent_slow_start_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 #include <limits>
+#include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -59,10 +61,13 @@
     effect = agent.OnAnnouncement(now, announcement);
   }
 
+  /** @param service  none in notices of earlier builds */
   void Notify(TimePoint now, double flows_per_second, int64_t version,
-              int duration_ms = 20000) {
+              int duration_ms = 20000,
+              const std::optional<std::string>& service = std::nullopt) {
     schema::AgentNotice notice;
     notice.configuration_version = version;
+    if (service) notice.__set_service_name(*service);
     schema::SlowStartLimit limit;
     limit.duration_ms = duration_ms;
     limit.flows_per_second = flows_per_second;
@@ -121,6 +126,18 @@
       log,          observer};
 };
 
+// Guards against the limit of the service whose agent had the address before.
+TEST_CASE("A notice for another service sets no limit") {
+  SingleAgent single;
+  single.Announce(kNow, 20000, 1);
+  single.Notify(kNow, 2, 1, 20000, "reports");
+  CHECK(single.ReportedRoom(kNow + seconds(1)) == -1);
+  single.Notify(kNow + seconds(1), 3, 1, 20000, "orders");
+  CHECK(single.ReportedRoom(kNow + seconds(2)) == 3);
+  single.Notify(kNow + seconds(2), 4, 2);
+  CHECK(single.ReportedRoom(kNow + seconds(3)) == 4);
+}
+
 TEST_CASE("A SYN without room waits and then returns to its balancer") {
   SingleAgent one;
   one.Announce(kNow, 20000, 1);
