A restarted agent counts the requests of all open flows

Callers met targets with more than their share of work: after a restart of its agent a target seemed to have room while requests of about half of its open flows were still running.

Cause: an agent takes data for a repetition unless its end is after the last byte that the client sent. For a flow that is older than the process that byte is not known and was 0, so the requests of each flow with a sequence number in the upper half of the range counted as repeated, and not as in flight.

Evidence: "A restarted agent counts the requests of all open flows" (steering_test) found 9 of 16 requests counted before the change, after a planned restart and after a crash, and 16 with it.

The fix: the last byte is optional, and without it the first data is not a repetition.

--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -282,8 +282,11 @@
     uint32_t syn_sequence = 0;
     uint32_t target_sequence = 0;
     uint32_t client_acknowledged = 0;
-    /** Sequence number after the last byte that the client sent. */
-    uint32_t client_sequence_end = 0;
+    /**
+     * Sequence number after the last byte that the client sent; nothing if the
+     * flow is older than this process and the client has sent none since.
+     */
+    std::optional<uint32_t> client_sequence_end;
     TimePoint opened{};
     TimePoint last_packet{};
     TimePoint request_sent{};
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -234,9 +234,9 @@
   }
   entry.client_ended = entry.client_ended || header.fin;
   const uint32_t end = header.sequence + header.payload_bytes;
-  if (header.payload_bytes == 0 || !IsAfter(end, entry.client_sequence_end)) {
-    return;
-  }
+  const bool repeated =
+      entry.client_sequence_end && !IsAfter(end, *entry.client_sequence_end);
+  if (header.payload_bytes == 0 || repeated) return;
   entry.client_sequence_end = end;
   CancelExpectedRequest(entry);
   if (entry.request_in_flight) return;
--- a/packages/steering/tests/steering_test.cc
+++ b/packages/steering/tests/steering_test.cc
@@ -239,6 +239,28 @@
   CHECK(Resets(world) == 0);
 }
 
+// Guards against a restarted agent that counts the requests of only those flows
+// whose sequence numbers are in one half of their range.
+TEST_CASE("A restarted agent counts the requests of all open flows") {
+  const bool planned = GENERATE(false, true);
+  constexpr int kClients = 16;
+  SteeringWorld world(1, 1, 23);
+  for (int i = 0; i < kClients; ++i) world.AddClient(true);
+  REQUIRE(RunRounds(world, 1, milliseconds(250)) == kClients);
+  if (planned) {
+    world.RestartAgent(0, milliseconds(100), milliseconds(50));
+  } else {
+    world.CrashAgent(0, milliseconds(100), milliseconds(50));
+  }
+  world.RunFor(seconds(1));
+  // Without a record an agent learns of a flow from its next answer.
+  REQUIRE(RunRounds(world, 1, milliseconds(250)) == kClients);
+  world.targets[0]->work = milliseconds(300);
+  for (auto& client : world.clients) client->Request("slow");
+  world.RunFor(milliseconds(100));
+  CHECK(world.agent(0)->in_flight() == kClients);
+}
+
 TEST_CASE("Flows of a restarted target are reset at their next packet") {
   SteeringWorld world(2, 3, 4);
   for (int i = 0; i < 12; ++i) world.AddClient(true);
