Records of all flows keep what a late SYN copy and a new target need

Callers saw open flows reset after planned restarts of agents, since: nobody-holds-flow by a balancer, recorded-target-ended by an agent.

Cause: the record was taken for more than its writer knew. (1) It lacked what tells a late copy of a SYN from the SYN of a new flow, so a copy made the next process forget the open flow, which it then denied. (2) It named flows of a new target, which may take flows before it announces itself, as flows of the old one.

The two new cases of complete_record_test fail without the change and pass with it.

The fix: the record has the last sequence number of each client, by which copies of the SYN are recognised, also for flows that an agent learned of from its target; a SYN for a flow without one leaves it undecided. Flows that opened after the last announcement, less its greatest delay, are recorded as undecided: they are left to the target, and not reset.

--- a/packages/registry/src/registration.cc
+++ b/packages/registry/src/registration.cc
@@ -52,7 +52,7 @@
   std::weak_ptr<CallbackGuard> guard = callback_guard_;
   store_.Read(key_, [guard, done = std::move(done)](auto item) {
     if (guard.expired()) return;
-    done(item ? std::optional(KeyVersion(item->version)) : std::nullopt);
+    done(item ? std::make_optional<KeyVersion>(item->version) : std::nullopt);
   });
 }
 
--- a/packages/schema/gen/steering_types.cpp
+++ b/packages/schema/gen/steering_types.cpp
@@ -1643,9 +1643,14 @@
 __isset.runs_once = true;
 }
 
-void RecordedFlow::__set_opening(const bool val) {
-  this->opening = val;
-__isset.opening = true;
+void RecordedFlow::__set_undecided(const bool val) {
+  this->undecided = val;
+__isset.undecided = true;
+}
+
+void RecordedFlow::__set_client_sequence_end(const int32_t val) {
+  this->client_sequence_end = val;
+__isset.client_sequence_end = true;
 }
 std::ostream& operator<<(std::ostream& out, const RecordedFlow& obj)
 {
@@ -1703,8 +1708,16 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->opening);
-          this->__isset.opening = true;
+          xfer += iprot->readBool(this->undecided);
+          this->__isset.undecided = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->client_sequence_end);
+          this->__isset.client_sequence_end = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1743,9 +1756,14 @@
     xfer += oprot->writeBool(this->runs_once);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.opening) {
-    xfer += oprot->writeFieldBegin("opening", ::apache::thrift::protocol::T_BOOL, 4);
-    xfer += oprot->writeBool(this->opening);
+  if (this->__isset.undecided) {
+    xfer += oprot->writeFieldBegin("undecided", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->undecided);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.client_sequence_end) {
+    xfer += oprot->writeFieldBegin("client_sequence_end", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->client_sequence_end);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -1758,7 +1776,8 @@
   swap(a.flow, b.flow);
   swap(a.acknowledged, b.acknowledged);
   swap(a.runs_once, b.runs_once);
-  swap(a.opening, b.opening);
+  swap(a.undecided, b.undecided);
+  swap(a.client_sequence_end, b.client_sequence_end);
   swap(a.__isset, b.__isset);
 }
 
@@ -1766,21 +1785,24 @@
   flow = other52.flow;
   acknowledged = other52.acknowledged;
   runs_once = other52.runs_once;
-  opening = other52.opening;
+  undecided = other52.undecided;
+  client_sequence_end = other52.client_sequence_end;
   __isset = other52.__isset;
 }
 RecordedFlow::RecordedFlow(RecordedFlow&& other53) noexcept {
   flow = std::move(other53.flow);
   acknowledged = other53.acknowledged;
   runs_once = other53.runs_once;
-  opening = other53.opening;
+  undecided = other53.undecided;
+  client_sequence_end = other53.client_sequence_end;
   __isset = other53.__isset;
 }
 RecordedFlow& RecordedFlow::operator=(const RecordedFlow& other54) noexcept {
   flow = other54.flow;
   acknowledged = other54.acknowledged;
   runs_once = other54.runs_once;
-  opening = other54.opening;
+  undecided = other54.undecided;
+  client_sequence_end = other54.client_sequence_end;
   __isset = other54.__isset;
   return *this;
 }
@@ -1788,7 +1810,8 @@
   flow = std::move(other55.flow);
   acknowledged = other55.acknowledged;
   runs_once = other55.runs_once;
-  opening = other55.opening;
+  undecided = other55.undecided;
+  client_sequence_end = other55.client_sequence_end;
   __isset = other55.__isset;
   return *this;
 }
@@ -1798,7 +1821,8 @@
   out << "flow=" << to_string(flow);
   out << ", " << "acknowledged=" << to_string(acknowledged);
   out << ", " << "runs_once="; (__isset.runs_once ? (out << to_string(runs_once)) : (out << "<null>"));
-  out << ", " << "opening="; (__isset.opening ? (out << to_string(opening)) : (out << "<null>"));
+  out << ", " << "undecided="; (__isset.undecided ? (out << to_string(undecided)) : (out << "<null>"));
+  out << ", " << "client_sequence_end="; (__isset.client_sequence_end ? (out << to_string(client_sequence_end)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/schema/gen/steering_types.h
+++ b/packages/schema/gen/steering_types.h
@@ -551,9 +551,10 @@
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj);
 
 typedef struct _RecordedFlow__isset {
-  _RecordedFlow__isset() : runs_once(true), opening(true) {}
+  _RecordedFlow__isset() : runs_once(true), undecided(true), client_sequence_end(false) {}
   bool runs_once :1;
-  bool opening :1;
+  bool undecided :1;
+  bool client_sequence_end :1;
 } _RecordedFlow__isset;
 
 class RecordedFlow : public virtual ::apache::thrift::TBase {
@@ -566,14 +567,16 @@
   RecordedFlow() noexcept
                : acknowledged(0),
                  runs_once(false),
-                 opening(false) {
+                 undecided(false),
+                 client_sequence_end(0) {
   }
 
   virtual ~RecordedFlow() noexcept;
    ::sesamesaddle::schema::FlowKey flow;
   int32_t acknowledged;
   bool runs_once;
-  bool opening;
+  bool undecided;
+  int32_t client_sequence_end;
 
   _RecordedFlow__isset __isset;
 
@@ -583,7 +586,9 @@
 
   void __set_runs_once(const bool val);
 
-  void __set_opening(const bool val);
+  void __set_undecided(const bool val);
+
+  void __set_client_sequence_end(const int32_t val);
 
   bool operator == (const RecordedFlow & rhs) const
   {
@@ -595,9 +600,13 @@
       return false;
     else if (__isset.runs_once && !(runs_once == rhs.runs_once))
       return false;
-    if (__isset.opening != rhs.__isset.opening)
+    if (__isset.undecided != rhs.__isset.undecided)
+      return false;
+    else if (__isset.undecided && !(undecided == rhs.undecided))
+      return false;
+    if (__isset.client_sequence_end != rhs.__isset.client_sequence_end)
       return false;
-    else if (__isset.opening && !(opening == rhs.opening))
+    else if (__isset.client_sequence_end && !(client_sequence_end == rhs.client_sequence_end))
       return false;
     return true;
   }
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -114,9 +114,12 @@
   2: required i32 acknowledged
   // Its route's requests must run at most once.
   3: optional bool runs_once = false
-  // Its client had not shown yet that it opened the flow at this target; only
-  // in a complete record.
-  4: optional bool opening = false
+  // It may be open at the target or not, as far as the writer knew: its client
+  // had not shown that, or another target may have started; only in a complete
+  // record.
+  4: optional bool undecided = false
+  // Sequence number after the last byte that the client sent; absent if unknown.
+  5: optional i32 client_sequence_end
 }
 
 // The open flows of a target. Its agent keeps this record in the store for its
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -266,8 +266,11 @@
   struct FlowEntry {
     FlowState state = FlowState::kOpening;
     bool sequence_known = false;
-    /** Recalled as a flow that may be open at the target. */
-    bool recalled_opening = false;
+    /**
+     * While opening: the target may hold it open, which an earlier process may
+     * have seen.
+     */
+    bool may_be_open = false;
     bool request_in_flight = false;
     /** The client's first request is expected and counts as work. */
     bool request_expected = false;
@@ -446,6 +449,8 @@
   schema::FlowRecord MakeRecord() const;
   static schema::RecordedFlow MakeRecordedFlow(const Flow& flow,
                                                const FlowEntry& entry);
+  /** Whether a SYN is a copy of the one that opened the flow. */
+  static bool IsCopyOfSyn(const FlowEntry& entry, uint32_t sequence);
   BalancerState& RecordContact(TimePoint now, const Endpoint& balancer);
   /** Like RecordContact, and schedules an urgent report to the balancer. */
   BalancerState& RecordUrgentContact(TimePoint now, const Endpoint& balancer);
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -106,7 +106,7 @@
   }
   const auto it = flows_.find(flow);
   const bool retransmission =
-      it != flows_.end() && it->second.syn_sequence == header.sequence;
+      it != flows_.end() && IsCopyOfSyn(it->second, header.sequence);
   if (retransmission && it->second.state != FlowState::kOpening) {
     // A late retransmission: the client has sent further packets since.
     ++counters_.late_syns;
@@ -132,15 +132,25 @@
   }
 }
 
+bool FlowAgent::IsCopyOfSyn(const FlowEntry& entry, uint32_t sequence) {
+  if (entry.syn_sequence != 0) return entry.syn_sequence == sequence;
+  return entry.client_sequence_end &&
+         MayFollowSyn(*entry.client_sequence_end, sequence);
+}
+
 void FlowAgent::OpenFlow(TimePoint now, QueuedSyn syn) {
   const auto [it, added] = flows_.try_emplace(syn.flow);
   FlowEntry& entry = it->second;
   const bool retransmission = !added && entry.state == FlowState::kOpening &&
                               entry.syn_sequence == syn.sequence;
   if (!retransmission) {
-    // A client that reuses its port opens a new flow.
+    // A client that reuses its port opens a new flow, unless this is a late
+    // copy of a SYN that this process has not seen.
+    const bool may_be_open =
+        entry.may_be_open || (!added && entry.syn_sequence == 0);
     ReleaseWork(entry);
     entry = FlowEntry();
+    entry.may_be_open = may_be_open;
     entry.syn_sequence = syn.sequence;
     entry.client_sequence_end = syn.sequence;
     entry.runs_once = syn.runs_once;
@@ -179,7 +189,7 @@
     if (!entry.sequence_known || ahead > 1) {
       // The client opened the flow at another target, unless it did so here
       // before this process started, which then saw a late copy of the SYN.
-      if (TracksAllFlows(now) && !entry.recalled_opening) {
+      if (TracksAllFlows(now) && !entry.may_be_open) {
         ReplyNotHeld(now, balancer, flow, offered, packet, size);
       } else {
         LetTargetDecide(now, header, balancer, packet, size);
--- a/packages/steering/src/flow_agent_records.cc
+++ b/packages/steering/src/flow_agent_records.cc
@@ -27,6 +27,10 @@
   recorded.flow = ToKey(flow);
   recorded.acknowledged = static_cast<int32_t>(entry.client_acknowledged);
   recorded.__set_runs_once(entry.runs_once);
+  if (entry.client_sequence_end) {
+    recorded.__set_client_sequence_end(
+        static_cast<int32_t>(*entry.client_sequence_end));
+  }
   return recorded;
 }
 
@@ -53,11 +57,15 @@
   schema::FlowRecord record = MakeRecord();
   record.__set_complete_at_ms(now_ms);
   record.__set_entry_revision(entry_revision);
+  // Later flows may be of a new target that has not announced itself yet.
+  const TimePoint held_before =
+      target_monitor_.last_announcement() - kMaxAnnouncementDelay;
   for (const auto& [flow, entry] : flows_) {
     if (entry.state == FlowState::kEnded) continue;
     if (record.flows.size() >= kMaxRecordedFlows) return std::nullopt;
     record.flows.push_back(MakeRecordedFlow(flow, entry));
-    record.flows.back().__set_opening(entry.state == FlowState::kOpening);
+    record.flows.back().__set_undecided(entry.state == FlowState::kOpening ||
+                                        entry.opened >= held_before);
   }
   return record;
 }
@@ -112,8 +120,12 @@
     const auto [it, added] = flows_.try_emplace(FromKey(recorded.flow));
     if (!added) continue;
     FlowEntry& entry = it->second;
-    entry.state = recorded.opening ? FlowState::kOpening : FlowState::kOpen;
-    entry.recalled_opening = recorded.opening;
+    entry.state = recorded.undecided ? FlowState::kOpening : FlowState::kOpen;
+    entry.may_be_open = recorded.undecided;
+    if (recorded.__isset.client_sequence_end) {
+      entry.client_sequence_end =
+          static_cast<uint32_t>(recorded.client_sequence_end);
+    }
     entry.runs_once = recorded.runs_once;
     entry.client_acknowledged = static_cast<uint32_t>(recorded.acknowledged);
     entry.opened = now;
@@ -133,7 +145,7 @@
   for (const schema::RecordedFlow& recorded : recalled_->flows) {
     const Flow flow = FromKey(recorded.flow);
     // A flow that this process has seen is one that the client opened since.
-    if (recorded.opening || flows_.count(flow) != 0) continue;
+    if (recorded.undecided || flows_.count(flow) != 0) continue;
     ++counters_.resets_recalled;
     FlowEntry entry;
     entry.client_acknowledged = static_cast<uint32_t>(recorded.acknowledged);
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -150,7 +150,7 @@
     const FlowEntry& entry = it->second;
     const Duration idle = now - entry.last_packet;
     const bool opening =
-        entry.state == FlowState::kOpening && !entry.recalled_opening;
+        entry.state == FlowState::kOpening && !entry.may_be_open;
     const Duration limit = entry.state == FlowState::kEnded
                                ? kEndedFlowRetention
                            : opening ? kOpeningTimeout
--- a/packages/steering/tests/complete_record_test.cc
+++ b/packages/steering/tests/complete_record_test.cc
@@ -103,15 +103,18 @@
   auto record = fleet.StopAndRecord(0);
   REQUIRE(record);
   REQUIRE_FALSE(record->flows.empty());
-  for (schema::RecordedFlow& flow : record->flows) flow.__set_opening(true);
+  for (schema::RecordedFlow& flow : record->flows) flow.__set_undecided(true);
   fleet.RestartWith(0, *record, true);
   CHECK(RunRounds(fleet, 1, seconds(4)) == kClients);
   CHECK(fleet.wrong_resets.empty());
   CHECK(fleet.agent(0)->flow_count() == record->flows.size());
 }
 
-TEST_CASE("A late copy of a SYN is recorded as a flow that is opening") {
+TEST_CASE("A flow that another target may hold is recorded as undecided") {
   OpenFlowFleet fleet(2);
+  // No target can have been replaced before the other flows opened.
+  fleet.RunFor(seconds(3));
+  for (size_t i = 0; i < kTargets; ++i) fleet.Announce(i);
   VirtualFlowClient& client = *fleet.clients.front();
   size_t holder = 0;
   while (!fleet.targets[holder]->HoldsOpen(client.flow())) ++holder;
@@ -123,15 +126,62 @@
   }
   client.RetransmitSyn();
   fleet.RunFor(milliseconds(50));
-  size_t opening = 0;
+  size_t undecided = 0;
   for (size_t i = 0; i < kTargets; ++i) {
     const auto record = fleet.StopAndRecord(i);
     REQUIRE(record);
     for (const schema::RecordedFlow& flow : record->flows) {
-      if (flow.opening) ++opening;
+      if (flow.undecided) ++undecided;
     }
   }
-  CHECK(opening == 1);
+  CHECK(undecided == 1);
+}
+
+// Guards against taking a late copy of a SYN for a new flow from the same port,
+// after which the process would forget the open one.
+TEST_CASE("A late SYN copy after a planned restart breaks no flow") {
+  OpenFlowFleet fleet(1);
+  VirtualFlowClient& client = *fleet.clients.front();
+  size_t holder = 0;
+  while (!fleet.targets[holder]->HoldsOpen(client.flow())) ++holder;
+  fleet.RunFor(seconds(3));
+  for (size_t i = 0; i < kTargets; ++i) fleet.Announce(i, i != holder);
+  const bool answered_since = GENERATE(false, true);
+  fleet.RestartAgent(holder, milliseconds(500), milliseconds(100));
+  fleet.RunFor(seconds(2));
+  if (answered_since) {
+    CHECK(RunRounds(fleet, 1, milliseconds(200)) == kClients);
+  }
+  fleet.KillBalancer(0);
+  fleet.StartBalancer(0);
+  client.RetransmitSyn();
+  // Longer than an agent keeps a flow that does not open.
+  fleet.RunFor(seconds(5));
+  fleet.KillBalancer(0);
+  fleet.StartBalancer(0);
+  CHECK(RunRounds(fleet, 1, seconds(4)) == kClients);
+  CHECK(fleet.wrong_resets.empty());
+}
+
+// Guards against resets of flows that a new target took before it announced
+// itself, as flows of the recorded one.
+TEST_CASE("A record resets no flow of a target that had not announced itself") {
+  OpenFlowFleet fleet(1);
+  VirtualFlowClient& client = *fleet.clients.front();
+  fleet.RunFor(seconds(3));
+  for (size_t i = 0; i < kTargets; ++i) fleet.Announce(i, i != 0);
+  client.Close();
+  fleet.targets[0]->Crash();
+  fleet.targets[0]->Start();
+  client.Request("new");
+  fleet.RunFor(milliseconds(300));
+  REQUIRE(fleet.targets[0]->HoldsOpen(client.flow()));
+  fleet.RestartAgent(0, milliseconds(500), milliseconds(100));
+  fleet.RunFor(milliseconds(1000));
+  fleet.AnnounceStart(0);
+  fleet.RunFor(seconds(2));
+  CHECK(fleet.wrong_resets.empty());
+  CHECK(client.has_flow());
 }
 
 // Guards against denials by a process that may not know all flows.
--- a/packages/steering_daemon/src/agent_process.cc
+++ b/packages/steering_daemon/src/agent_process.cc
@@ -245,7 +245,8 @@
       agent_.Recall(deps_.loop.Now(), record, complete);
       Flush();
     };
-    const auto revision = entry ? std::optional(entry->value()) : std::nullopt;
+    const auto revision =
+        entry ? std::make_optional(entry->value()) : std::nullopt;
     if (!HasAllFlows(record, now_ms, revision)) {
       recall(false);
       return;
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -323,7 +323,7 @@
   /** Returns the store's revision of the target's entry, if it is listed. */
   std::optional<int64_t> EntryRevision(size_t i) const {
     const auto it = listed_.find(i);
-    return it == listed_.end() ? std::nullopt : std::optional(it->second);
+    return it == listed_.end() ? std::nullopt : std::make_optional(it->second);
   }
   /** @param record  left by the agent's process that ended as planned */
   void StartAgentBesideTarget(
