Review: show resets after a lost entry and a restart of all balancers

The store takes the keys of one machine away while all balancers are killed. The agent renews its lease with success and verifies its entry only every 30 s, and balancers without memory trust a directory after 2.5 s: they reset the open flows of the agent's living backend when their clients go on after a pause. Ruled out: with TROUBLE=0 no flow is reset.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
-# FAILBACK: a cold server gets more new flows than its limit.
+# FLOW: open flows of a living server are reset after all balancers were killed
+# and its agent has lost its entry in the store without noticing.
 HERE="$(cd "$(dirname "$0")" && pwd)"
-PLACES=1 exec "$HERE/../standins-2/run-case.sh" cold "$HERE"
+exec "$HERE/../standins-2/run-case.sh" revoked "$HERE"
--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -11,9 +11,10 @@
 [ -x "$WORLD" ] || { echo "run review/build-2.sh first"; exit 2; }
 [ -x "$DAEMON" ] || { echo "build by deploy/system.toml first"; exit 2; }
 WORK="$(mktemp -d)" || exit 2
-PIDS=()
+WORLD_PID=""
+declare -A PIDS
 stop_all() {
-  for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
+  for pid in $WORLD_PID "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
   wait 2>/dev/null
   [ -n "${KEEP:-}" ] && cp -r "$WORK" "$KEEP"
   rm -rf "$WORK"
@@ -23,11 +24,11 @@
 BASE="$("$WORLD" base)" || exit 2
 
 settings() {  # ROLE INDEX -> file
-  local role="$1" index="$2" file="$WORK/$1-$2.toml" ip class serves
+  local role="$1" index="$2" file="$WORK/$1-$2.toml" ip class serves store
   if [ "$role" = balancer ]; then
-    ip="127.10.0.$((index + 1))" class=edge serves='["edge","control_plane"]'
+    ip="127.10.0.$((index + 1))" class=edge serves='["edge","control_plane"]' store=$((BASE + 60 + index))
   else
-    ip="127.20.0.$((index + 1))" class=side serves='["side"]'
+    ip="127.20.0.$((index + 1))" class=side serves='["side"]' store=$((BASE + 50 + index))
   fi
   {
     cat <<T
@@ -90,7 +91,7 @@
 slowStartSlack = 5
 evacuateMs = 5000}
 [platform]
-address = "127.40.0.1:$((BASE + 50))"
+address = "127.40.0.1:$store"
 proxyMode = "kv"
 writesPerS = 400
 readsPerS = 2000
@@ -104,20 +105,29 @@
 start() {  # ROLE INDEX
   local file
   file="$(settings "$1" "$2")"
-  SESAMESADDLE_CONFIG="$file" "$DAEMON" "flow-$1" >"$WORK/$1-$2.log" 2>&1 &
-  PIDS+=($!)
+  SESAMESADDLE_CONFIG="$file" "$DAEMON" "flow-$1" >>"$WORK/$1-$2.log" 2>&1 &
+  PIDS[$1-$2]=$!
 }
 
-"$WORLD" "$CASE" "$BASE" "$FOLDER/record.txt" "${TROUBLE:-1}" &
+mkfifo "$WORK/orders"
+"$WORLD" "$CASE" "$BASE" "$FOLDER/record.txt" "${TROUBLE:-1}" >"$WORK/orders" &
 WORLD_PID=$!
-PIDS+=("$WORLD_PID")
+exec 3<"$WORK/orders"
 sleep 0.1
 for i in 0 1; do start balancer $i; done
 for i in 0 1 2; do start agent $i; done
+while read -r verb role index <&3; do
+  case "$verb" in
+    start) start "$role" "$index" ;;
+    kill | stop | cont | term)
+      kill "-${verb^^}" "${PIDS[$role-$index]}"
+      [ "$verb" = kill ] && wait "${PIDS[$role-$index]}" 2>/dev/null ;;
+  esac
+done
 wait "$WORLD_PID"
 STATUS=$?
-for pid in "${PIDS[@]:1}"; do
-  kill -0 "$pid" 2>/dev/null || { echo "a program of the project has ended"; [ $STATUS = 0 ] && STATUS=2; }
+for name in "${!PIDS[@]}"; do
+  kill -0 "${PIDS[$name]}" 2>/dev/null || { echo "$name has ended"; [ $STATUS = 0 ] && STATUS=2; }
 done
 [ "$STATUS" = 0 ] || [ "$STATUS" = 1 ] || STATUS=2
 tail -n 4 "$FOLDER/record.txt"
--- a/review/standins-2/store.hpp
+++ b/review/standins-2/store.hpp
@@ -95,18 +95,42 @@
 
 class Store {
  public:
-  Store(Loop& loop, const std::string& ip, int port) : loop_(loop) {
-    const int fd = listen_tcp(ip, port);
-    if (fd < 0) cannot_run("no port for the store");
-    loop_.watch(fd, POLLIN, [this, fd](short) {
-      for (int c; (c = accept(fd, nullptr, nullptr)) >= 0;) {
-        nonblocking(c);
-        in_[c];
-        loop_.watch(c, POLLIN, [this, c](short) { on_bytes(c); });
-      }
-    });
+  // Machine i reaches the store at `port` + i, so that the store can tell them
+  // apart.
+  Store(Loop& loop, const std::string& ip, int port, int machines)
+      : loop_(loop) {
+    for (int i = 0; i < machines; ++i) {
+      const int fd = listen_tcp(ip, port + i);
+      if (fd < 0) cannot_run("no port for the store");
+      loop_.watch(fd, POLLIN, [this, fd, i](short) {
+        for (int c; (c = accept(fd, nullptr, nullptr)) >= 0;) {
+          nonblocking(c);
+          in_[c];
+          machine_[c] = i;
+          loop_.watch(c, POLLIN, [this, c](short) { on_bytes(c); });
+        }
+      });
+    }
     tick();
   }
+  // Turns a machine's calls away with 503 from now on, or no longer.
+  void reject(int machine, bool rejected) { rejected_[machine] = rejected; }
+  // Takes the keys of a machine away; its leases go on.
+  void revoke(int machine) {
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : items_) {
+      if (item.lease != 0 && lease_machine_[item.lease] == machine) {
+        keys.push_back(key);
+      }
+    }
+    for (const auto& key : keys) remove(key);
+    answer_watches();
+  }
+  // Called with each renewal of a lease by that machine.
+  void on_renewal(int machine, std::function<void()> f) {
+    renewal_machine_ = machine;
+    on_renewal_ = std::move(f);
+  }
   // What the operator writes; `value` is plain text.
   void put(const std::string& key, const std::string& value) {
     write(key, base64(value), 0);
@@ -220,6 +244,7 @@
     const std::string query =
         mark == std::string::npos ? "" : target.substr(mark + 1);
     const Json body = Json::parse(m.body);
+    if (rejected_[machine_[fd]]) return reply(fd, 503, "{}");
     if (path == "/v1/kv-key") {
       const auto it = items_.find(field(query, "key"));
       if (it == items_.end()) return reply(fd, 404, "{}");
@@ -246,6 +271,7 @@
       const int64_t ttl = body.integer("ttlMs");
       const int64_t id = ++lease_;
       leases_[id] = {now() + ttl / 1000.0, ttl / 1000.0};
+      lease_machine_[id] = machine_[fd];
       return reply(fd, 200, "{\"lease\":" + std::to_string(id) +
                                 ",\"ttlMs\":" + std::to_string(ttl) + "}");
     }
@@ -254,6 +280,9 @@
     if (lease == leases_.end()) return reply(fd, 404, "{}");
     if (path.compare(0, 12, "/v1/kv-keep/") == 0) {
       lease->second.until = now() + lease->second.ttl;
+      if (on_renewal_ && machine_[fd] == renewal_machine_) {
+        loop_.after(0.01, on_renewal_);
+      }
     } else {
       end_lease(lease->first);
       answer_watches();
@@ -309,6 +338,11 @@
 
   Loop& loop_;
   std::map<int, std::string> in_;
+  std::map<int, int> machine_;
+  std::map<int, bool> rejected_;
+  std::map<int64_t, int> lease_machine_;
+  int renewal_machine_ = -1;
+  std::function<void()> on_renewal_;
   std::map<std::string, Item> items_;
   std::map<int64_t, Lease> leases_;
   std::vector<Event> events_;
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -24,6 +24,8 @@
 }
 constexpr char kClientIp[] = "127.30.0.1";
 constexpr char kStoreIp[] = "127.40.0.1";
+// Machines at the store: agents from 0 on, balancers from 10 on.
+constexpr int kMachines = 20, kFirstBalancer = 10;
 
 enum Flag : uint8_t { kSyn = 1, kBounced = 2, kFin = 4, kAck = 16, kRst = 128 };
 
@@ -173,7 +175,7 @@
  public:
   World(int base, const std::string& record, int balancers, int agents)
       : base(base),
-        store(loop, kStoreIp, base + kStorePort),
+        store(loop, kStoreIp, base + kStorePort, kMachines),
         record_(fopen(record.c_str(), "w")) {
     if (record_ == nullptr) cannot_run("cannot write " + record);
     client_fd_ = bind_udp(kClientIp, base + kPackets);
@@ -235,7 +237,7 @@
     servers_.push_back(server);
     return server;
   }
-  // Opens a flow that lasts for `lasts`, with a request each half second; or a
+  // Opens a flow that lasts for `lasts`, with a pause between requests; or a
   // flow of one request, if `lasts` is 0. One that is reset or fails is
   // followed by a new one from a new port.
   void open_flow(Seconds lasts) { open_flow_until(now() + lasts, lasts == 0); }
@@ -250,6 +252,14 @@
     ++opened_;
     send_syn(port, 0);
   }
+  // Asks the script to kill or start a program of the project.
+  void order(const char* verb, const char* role, int index) {
+    note("%s %s %d", verb, role, index);
+    printf("%s %s %d\n", verb, role, index);
+    fflush(stdout);
+  }
+  // Each request of a long flow follows the last one after this time.
+  void set_pause(Seconds pause) { pause_ = pause; }
   // A disruption of the server or its links lasts until now.
   void disrupted() { disrupted_until_ = now(); }
   void cut(int agent) {
@@ -431,7 +441,7 @@
         end_attempt(f.port);
       } else {
         const uint16_t port = f.port;
-        loop.after(0.5, [this, port] { send_request(port); });
+        loop.after(pause_, [this, port] { send_request(port); });
       }
     } else if (p.flags & kFin) {
       send_packet(make(f, kAck | kFin));
@@ -460,7 +470,7 @@
   }
 
   FILE* record_;
-  Seconds zero_ = 0, disrupted_until_ = -1000;
+  Seconds zero_ = 0, disrupted_until_ = -1000, pause_ = 0.5;
   int client_fd_ = -1;
   std::vector<std::unique_ptr<Caller>> probes_;
   std::vector<bool> ready_;
