Review: show resets after an odd entry under a living agent's key

Balancers that run refuse an entry that can't be read and keep what they knew; one that is restarted as planned lacks the agent, asks the others, and resets the open flows of its backend. Ruled out: the restart alone; with TROUBLE=0 no flow is reset.

--- a/review/standins-2/store.hpp
+++ b/review/standins-2/store.hpp
@@ -126,6 +126,17 @@
     for (const auto& key : keys) remove(key);
     answer_watches();
   }
+  // Another writer leaves bytes that can't be read under a machine's keys.
+  void spoil(int machine) {
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : items_) {
+      if (item.lease != 0 && lease_machine_[item.lease] == machine) {
+        keys.push_back(key);
+      }
+    }
+    for (const auto& key : keys) write(key, base64("\xff\xfe odd"), 0);
+    answer_watches();
+  }
   // Called with each renewal of a lease by that machine.
   void on_renewal(int machine, std::function<void()> f) {
     renewal_machine_ = machine;
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -192,6 +192,29 @@
   });
 }
 
+// Another writer leaves one entry that can't be read under the key of agent 0; a
+// balancer is restarted as planned.
+void odd_entry(World& w, bool trouble, std::function<void(int)> end) {
+  w.start_server(0, options("a1"));
+  w.start_server(1, options("b1"));
+  w.start_server(2, options("c1"));
+  for (int i = 0; i < 24; ++i) {
+    w.loop.after(i * 0.05, [&w] { w.open_flow(60); });
+  }
+  if (trouble) {
+    w.loop.after(4.0, [&w] {
+      w.note("another writer writes under the key of agent 0");
+      w.store.spoil(0);
+      w.disrupted();
+    });
+  }
+  w.loop.after(9.0, [&w] { w.order("term", "balancer", 0); });
+  w.loop.after(15.5, [&w] { w.order("start", "balancer", 0); });
+  w.loop.after(30, [&w, end] {
+    end(w.broken() > 0 || w.changed() > 0 ? 1 : 0);
+  });
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -217,6 +240,7 @@
     if (name == "reborn") return reborn(w, trouble, end);
     if (name == "cold") return cold(w, trouble, end);
     if (name == "cold-behind-cut") return cold_behind_cut(w, trouble, end);
+    if (name == "odd-entry") return odd_entry(w, trouble, end);
     if (name == "revoked") return revoked(w, trouble, end);
     cannot_run("there is no case " + name);
   });
