--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cc
@@ -86,7 +86,8 @@
 /** Probes the readiness of each balancer as the routers do. */
 class Routers {
  public:
-  Routers(const Layout& layout) : layout_(layout), misses_(kMaxBalancers) {}
+  explicit Routers(const Layout& layout)
+      : layout_(layout), misses_(kMaxBalancers) {}
 
   void Start() {
     for (int i = 0; i < layout_.balancers; ++i) {
