--- a/review/standins-3/client.h
+++ b/review/standins-3/client.h
@@ -22,11 +22,11 @@
 /** Whether a client keeps its flow or opens one for each request. */
 enum class Habit { kKeepsFlow, kFlowEach };
 
-/** A client that sends a request every 300 ms, or as soon as it is answered. */
+/** A client that pauses after each answer. */
 class Client {
  public:
   Client(Loop& loop, Record& record, const Layout& layout, int index,
-         Habit habit, Route route, OnReset on_reset);
+         Habit habit, Millis pause, Route route, OnReset on_reset);
 
   void Start();
   bool open() const { return open_; }
@@ -49,6 +49,7 @@
   Record& record_;
   const int index_;
   const Habit habit_;
+  const Millis pause_;
   const std::string ip_;
   int socket_ = -1;
   Route route_;
--- a/review/standins-3/layout.h
+++ b/review/standins-3/layout.h
@@ -17,6 +17,8 @@
   static std::string Balancer(int i) { return "127.41.0." + Number(i); }
   static std::string Agent(int i) { return "127.42.0." + Number(i); }
   static std::string StoreIp() { return "127.43.0.1"; }
+  /** The store's address in the settings of agent 0. */
+  static std::string StoreIpOfAgent() { return "127.43.0.2"; }
   static std::string Client(int i) { return "127.64.0." + Number(i); }
   /** The address of the route, in packets only. */
   static std::string RouteIp() { return "127.90.0.1"; }
