Verify at silence the entry of an agent that may not know all flows

Cause: balancers trust absence after 5 s because an agent that no balancer sends anything verifies its entry each 4 s. The agent did so only if it knew of a flow. After a restart it knows none until a packet of one passes; the flows paused, so it verified after 30 s.

An agent now verifies at silence unless it knows that its target holds no flow: it saw the target start, has the complete record of its former process, or has run for the lifetime of a flow. The further reads, one each 4 s, end 60 s after a restart; an agent that starts before its target makes none.

--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -256,11 +256,13 @@
   /** Whether any balancer is active, so that reports may be due. */
   bool busy() const { return !balancers_.empty() || stop_reports_left_ > 0; }
   /**
-   * Whether the target may hold flows and no balancer has sent anything for
-   * kBalancerIdleTimeout, so that none may know of this agent.
+   * Whether the target may hold flows, known to this process or not, and no
+   * balancer has sent anything for kBalancerIdleTimeout, so that none may know
+   * of this agent.
    */
   bool AtSilence(TimePoint now) const {
-    return !flows_.empty() && now - last_contact_ > kBalancerIdleTimeout;
+    const bool may_hold_flows = !flows_.empty() || !TracksAllFlows(now);
+    return may_hold_flows && now - last_contact_ > kBalancerIdleTimeout;
   }
   /** Whether a report should be sent before the period ends. */
   bool urgent() const { return urgent_; }
--- a/packages/steering/tests/missing_entry_test.cc
+++ b/packages/steering/tests/missing_entry_test.cc
@@ -132,6 +132,37 @@
   CHECK(world.resets == 0);
 }
 
+// Guards against resets of a living target's flows when its agent, which has
+// restarted and seen no packet of them since, does not notice the lost entry.
+TEST_CASE("An entry that is lost beside a restarted agent resets no flow") {
+  Fleet fleet(2);
+  SteeringWorld& world = fleet.world;
+  world.RunFor(seconds(5));
+  world.CrashAgent(0, milliseconds(500), milliseconds(1200));
+  world.RunFor(seconds(3));
+  world.TakeEntryAway(0);
+  for (size_t i = 0; i < 2; ++i) world.KillBalancer(i);
+  world.RunFor(milliseconds(300));
+  for (size_t i = 0; i < 2; ++i) world.StartBalancer(i);
+  world.RunFor(milliseconds(5500));
+  for (auto& client : world.clients) client->deadline = seconds(8);
+  CHECK(RunRounds(world, 1, seconds(6)) == kClients);
+  CHECK(world.wrong_resets.empty());
+  CHECK(world.resets == 0);
+}
+
+TEST_CASE("An agent at silence verifies only while its target may hold flows") {
+  SteeringWorld world(1, 1, 17);
+  world.RunFor(seconds(3));
+  // It has seen the start of its target, which holds no flow.
+  CHECK_FALSE(world.agent(0)->AtSilence(world.scheduler.Now()));
+  world.CrashAgent(0, milliseconds(500), milliseconds(1200));
+  world.RunFor(seconds(3));
+  CHECK(world.agent(0)->AtSilence(world.scheduler.Now()));
+  world.RunFor(seconds(60));
+  CHECK_FALSE(world.agent(0)->AtSilence(world.scheduler.Now()));
+}
+
 TEST_CASE("A balancer that starts learns of a missing entry from a peer") {
   Fleet fleet(2);
   SteeringWorld& world = fleet.world;
