--- a/packages/steering/include/steering/target_monitor.h
+++ b/packages/steering/include/steering/target_monitor.h
@@ -18,7 +18,7 @@
   std::string id;
   /**
    * Start of the target in Unix milliseconds by its own clock, which may have
-   * been set back since an earlier start; 0 if unknown.
+   * been set back since an earlier start.
    */
   int64_t born_ms = 0;
   std::string service;
