Keep a target that an earlier start has replaced until it is overdue

What callers would see: the open flows of a target that runs are reset, and its announcements refused for good, after two announcements of another writer with an earlier start between two of its own.

Cause: a target with an earlier start takes effect after a second in which the current one was silent, and the current one was then taken for ended at once. Targets announce themselves each 1.2 s, so that a second of silence shows nothing. A target that is replaced by one with a later start is kept until it has missed one and a half of its intervals.

The same now holds for both: until then the former target wins back by its next announcement and none of its flows are reset. After a real restart with the clock set back, idle flows are reset by the new target's next announcement, at most an interval later than before; a packet of one still gets its reset at once, as the new target returns it.

Tests: "A target wins back from announcements of an earlier start" fails on the commit before; "A target whose clock was set back ends the former one when overdue" guards the callers of a target that is gone.

--- a/packages/steering/src/target_monitor.cc
+++ b/packages/steering/src/target_monitor.cc
@@ -104,7 +104,7 @@
   if (earlier && !ConfirmReplacement(now, announcement)) {
     return AnnouncementEffect::kStale;
   }
-  const bool ended = earlier || recalled_ || gone() || unreachable_ ||
+  const bool ended = recalled_ || gone() || unreachable_ ||
                      Overdue(now, last_announcement_, interval_);
   KeepAsRival();
   confirmed_ = false;
--- a/packages/steering/tests/target_rivals_test.cc
+++ b/packages/steering/tests/target_rivals_test.cc
@@ -157,6 +157,30 @@
   CHECK(monitor.announcement().id == "a");
 }
 
+// Guards against a target that loses its flows, and whose announcements are
+// refused for good, by two of another writer between two of its own.
+TEST_CASE("A target wins back from announcements of an earlier start") {
+  TargetMonitor monitor = MakeMonitor();
+  CHECK(Send(monitor, kNow + milliseconds(100), Make("odd", 4000, 1)) ==
+        Effect::kStale);
+  CHECK(Send(monitor, kNow + milliseconds(1200), Make("odd", 4000, 2)) ==
+        Effect::kNewIncarnation);
+  CHECK_FALSE(monitor.TakeFormerEnded());
+  CHECK(Send(monitor, kNow + milliseconds(1300), Make("a", 5000, 6)) ==
+        Effect::kChanged);
+  CHECK(monitor.announcement().id == "a");
+  CHECK_FALSE(monitor.TakeFormerEnded());
+}
+
+TEST_CASE("A target whose clock was set back ends the former one when overdue") {
+  TargetMonitor monitor = MakeMonitor();
+  Send(monitor, kNow + milliseconds(100), Make("b", 4000, 1));
+  Send(monitor, kNow + milliseconds(1200), Make("b", 4000, 2));
+  CHECK(monitor.announcement().id == "b");
+  Send(monitor, kNow + milliseconds(2200), Make("b", 4000, 3));
+  CHECK(monitor.TakeFormerEnded());
+}
+
 TEST_CASE("Late announcements of an unknown target replace none") {
   TargetMonitor monitor = MakeMonitor();
   for (int i = 1; i < 9; ++i) {
