Hold new flows to a cold target until its agent knows the limit

Cause: an agent that has restarted knows no limit of its service's slow start until a balancer sends it one, and applied none meanwhile. A balancer sends it by what it takes the target for: the first of the new entries was read at once, the others with the batch of the watch 800 ms later. Until then it took two of the targets for the former, warm ones, for which no notice was due.

Not to know a limit is now a state of its own. An agent that no notice has reached says so in its reports while its target is cold or unknown, and a balancer with a limit replies with a notice, whatever the entry says. A SYN to a service with a limit has the kind kOffer, which earlier builds read like kDirect; an agent without a notice holds such SYNs to a cold target until the limit is there, a few milliseconds. It works without any entry, and services without a limit see no change: no notice, no SYN that waits.

--- a/packages/flow_model/include/flow_model/agent_hop.h
+++ b/packages/flow_model/include/flow_model/agent_hop.h
@@ -50,9 +50,13 @@
 /**
  * Prepares a client's SYN for an agent. The wide form leaves the priority and
  * the times where the narrow one has them, and appends kSynTrailerBytes.
+ * @param kind  kDirect; kOffer if the service limits new flows to targets in
+ *        slow start: an agent that does not know the limit delivers the SYN to
+ *        such a target only once it does. Earlier builds take it for kDirect.
  */
-void WriteSynHop(const PacketCodec& codec, const AddressedService& service,
-                 uint8_t priority, const SynTimes& times, std::string& packet);
+void WriteSynHop(const PacketCodec& codec, HopKind kind,
+                 const AddressedService& service, uint8_t priority,
+                 const SynTimes& times, std::string& packet);
 
 /**
  * Prepares a packet that is no SYN for an agent. The wide form has the check in
--- a/packages/flow_model/src/agent_hop.cc
+++ b/packages/flow_model/src/agent_hop.cc
@@ -95,12 +95,12 @@
   return TagCheck(ServiceHash(service));
 }
 
-void WriteSynHop(const PacketCodec& codec, const AddressedService& service,
-                 uint8_t priority, const SynTimes& times, std::string& packet) {
+void WriteSynHop(const PacketCodec& codec, HopKind kind,
+                 const AddressedService& service, uint8_t priority,
+                 const SynTimes& times, std::string& packet) {
   const bool wide = service.width == CheckWidth::kWide;
   codec.SetHop(packet.data(),
-               {wide ? HopKind::kWideDirect : HopKind::kDirect,
-                TagCheck(service.hash), priority},
+               {wide ? ToWide(kind) : kind, TagCheck(service.hash), priority},
                times.Pack());
   if (wide) AppendTrailer(service.hash, packet);
 }
--- a/packages/flow_model/tests/agent_hop_test.cc
+++ b/packages/flow_model/tests/agent_hop_test.cc
@@ -35,9 +35,10 @@
 }
 
 std::string SynTo(const AddressedService& service,
-                  const std::string& payload = "") {
+                  const std::string& payload = "",
+                  HopKind kind = HopKind::kDirect) {
   std::string packet = ClientPacket(true, payload);
-  WriteSynHop(TestPacketCodec(), service, 5, kTimes, packet);
+  WriteSynHop(TestPacketCodec(), kind, service, 5, kTimes, packet);
   return packet;
 }
 
@@ -55,18 +56,20 @@
   return packet;
 }
 
-TEST_CASE("A SYN keeps its priority and times in both forms") {
+TEST_CASE("A SYN keeps its kind, priority and times in both forms") {
   for (const CheckWidth width : {CheckWidth::kNarrow, CheckWidth::kWide}) {
-    const std::string packet = SynTo(Addressed(width), "early data");
-    const auto hop = ReadAgentHop(TestPacketCodec(), packet);
-    REQUIRE(hop.has_value());
-    CHECK(hop->width == width);
-    CHECK(hop->header.tag.kind == HopKind::kDirect);
-    CHECK(hop->header.tag.priority == 5);
-    CHECK(hop->header.echo == kTimes.Pack());
-    CHECK_FALSE(hop->report_step.has_value());
-    CHECK(hop->Names(kService));
-    CHECK(Stripped(packet, hop->size) == ClientPacket(true, "early data"));
+    for (const HopKind kind : {HopKind::kDirect, HopKind::kOffer}) {
+      const std::string packet = SynTo(Addressed(width), "early data", kind);
+      const auto hop = ReadAgentHop(TestPacketCodec(), packet);
+      REQUIRE(hop.has_value());
+      CHECK(hop->width == width);
+      CHECK(hop->header.tag.kind == kind);
+      CHECK(hop->header.tag.priority == 5);
+      CHECK(hop->header.echo == kTimes.Pack());
+      CHECK_FALSE(hop->report_step.has_value());
+      CHECK(hop->Names(kService));
+      CHECK(Stripped(packet, hop->size) == ClientPacket(true, "early data"));
+    }
   }
 }
 
--- a/packages/placement/include/placement/target_directory.h
+++ b/packages/placement/include/placement/target_directory.h
@@ -39,6 +39,8 @@
    * nothing if its agent does not limit it.
    */
   std::optional<int> slow_start_room;
+  /** The agent has been told of no limit, as last reported. */
+  bool lacks_limit = false;
   /** Version of the configuration whose limit this balancer last sent. */
   int64_t limit_sent = 0;
   /** Notices of the limit since it or the record's slow start changed. */
--- a/packages/placement/src/target_directory.cc
+++ b/packages/placement/src/target_directory.cc
@@ -175,6 +175,7 @@
   view->slow_start_room = report.__isset.slow_start_room
                               ? std::make_optional<int>(report.slow_start_room)
                               : std::nullopt;
+  view->lacks_limit = report.lacks_slow_start_limit;
   if (report.failing && !view->failing) {
     view->next_trial = now + kTrialPeriod;
   }
--- a/packages/schema/gen/steering_types.cpp
+++ b/packages/schema/gen/steering_types.cpp
@@ -1039,6 +1039,11 @@
   this->target_known_ms = val;
 __isset.target_known_ms = true;
 }
+
+void AgentReport::__set_lacks_slow_start_limit(const bool val) {
+  this->lacks_slow_start_limit = val;
+__isset.lacks_slow_start_limit = true;
+}
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj)
 {
   obj.printTo(out);
@@ -1300,6 +1305,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->lacks_slow_start_limit);
+          this->__isset.lacks_slow_start_limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1469,6 +1482,11 @@
     xfer += oprot->writeI32(this->target_known_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.lacks_slow_start_limit) {
+    xfer += oprot->writeFieldBegin("lacks_slow_start_limit", ::apache::thrift::protocol::T_BOOL, 23);
+    xfer += oprot->writeBool(this->lacks_slow_start_limit);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1497,6 +1515,7 @@
   swap(a.digest, b.digest);
   swap(a.reads_wide_check, b.reads_wide_check);
   swap(a.target_known_ms, b.target_known_ms);
+  swap(a.lacks_slow_start_limit, b.lacks_slow_start_limit);
   swap(a.__isset, b.__isset);
 }
 
@@ -1522,6 +1541,7 @@
   digest = other48.digest;
   reads_wide_check = other48.reads_wide_check;
   target_known_ms = other48.target_known_ms;
+  lacks_slow_start_limit = other48.lacks_slow_start_limit;
   __isset = other48.__isset;
 }
 AgentReport::AgentReport(AgentReport&& other49) noexcept {
@@ -1546,6 +1566,7 @@
   digest = std::move(other49.digest);
   reads_wide_check = other49.reads_wide_check;
   target_known_ms = other49.target_known_ms;
+  lacks_slow_start_limit = other49.lacks_slow_start_limit;
   __isset = other49.__isset;
 }
 AgentReport& AgentReport::operator=(const AgentReport& other50) {
@@ -1570,6 +1591,7 @@
   digest = other50.digest;
   reads_wide_check = other50.reads_wide_check;
   target_known_ms = other50.target_known_ms;
+  lacks_slow_start_limit = other50.lacks_slow_start_limit;
   __isset = other50.__isset;
   return *this;
 }
@@ -1595,6 +1617,7 @@
   digest = std::move(other51.digest);
   reads_wide_check = other51.reads_wide_check;
   target_known_ms = other51.target_known_ms;
+  lacks_slow_start_limit = other51.lacks_slow_start_limit;
   __isset = other51.__isset;
   return *this;
 }
@@ -1622,6 +1645,7 @@
   out << ", " << "digest="; (__isset.digest ? (out << to_string(digest)) : (out << "<null>"));
   out << ", " << "reads_wide_check="; (__isset.reads_wide_check ? (out << to_string(reads_wide_check)) : (out << "<null>"));
   out << ", " << "target_known_ms="; (__isset.target_known_ms ? (out << to_string(target_known_ms)) : (out << "<null>"));
+  out << ", " << "lacks_slow_start_limit="; (__isset.lacks_slow_start_limit ? (out << to_string(lacks_slow_start_limit)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/schema/gen/steering_types.h
+++ b/packages/schema/gen/steering_types.h
@@ -375,13 +375,14 @@
 std::ostream& operator<<(std::ostream& out, const FlowDigest& obj);
 
 typedef struct _AgentReport__isset {
-  _AgentReport__isset() : failing(true), zone(false), slow_start_room(false), digest(false), reads_wide_check(false), target_known_ms(false) {}
+  _AgentReport__isset() : failing(true), zone(false), slow_start_room(false), digest(false), reads_wide_check(false), target_known_ms(false), lacks_slow_start_limit(false) {}
   bool failing :1;
   bool zone :1;
   bool slow_start_room :1;
   bool digest :1;
   bool reads_wide_check :1;
   bool target_known_ms :1;
+  bool lacks_slow_start_limit :1;
 } _AgentReport__isset;
 
 class AgentReport : public virtual ::apache::thrift::TBase {
@@ -406,7 +407,8 @@
                 failing(false),
                 slow_start_room(0),
                 reads_wide_check(0),
-                target_known_ms(0) {
+                target_known_ms(0),
+                lacks_slow_start_limit(0) {
   }
 
   virtual ~AgentReport() noexcept;
@@ -435,6 +437,7 @@
   FlowDigest digest;
   bool reads_wide_check;
   int32_t target_known_ms;
+  bool lacks_slow_start_limit;
 
   _AgentReport__isset __isset;
 
@@ -480,6 +483,8 @@
 
   void __set_target_known_ms(const int32_t val);
 
+  void __set_lacks_slow_start_limit(const bool val);
+
   bool operator == (const AgentReport & rhs) const
   {
     if (!(agent == rhs.agent))
@@ -536,6 +541,10 @@
       return false;
     else if (__isset.target_known_ms && !(target_known_ms == rhs.target_known_ms))
       return false;
+    if (__isset.lacks_slow_start_limit != rhs.__isset.lacks_slow_start_limit)
+      return false;
+    else if (__isset.lacks_slow_start_limit && !(lacks_slow_start_limit == rhs.lacks_slow_start_limit))
+      return false;
     return true;
   }
   bool operator != (const AgentReport &rhs) const {
--- a/packages/schema/steering.thrift
+++ b/packages/schema/steering.thrift
@@ -105,6 +105,10 @@
   // Time for which the agent has known the present start of its target, in
   // milliseconds, up to a minute; absent if it does not know it.
   22: optional i32 target_known_ms
+  // No notice has told the agent yet whether its service has a limit of new
+  // flows, and its target is in slow start or has not announced itself. Absent
+  // otherwise.
+  23: optional bool lacks_slow_start_limit
 }
 
 // A flow that a target held when its agent recorded it.
--- a/packages/schema/tests/steering_compatibility_test.cc
+++ b/packages/schema/tests/steering_compatibility_test.cc
@@ -129,5 +129,21 @@
   CHECK(read->known == DecodeCompact<EarlierReader<21>>(earlier_bytes)->known);
 }
 
+TEST_CASE("Versions read each other's reports of a limit that is not known") {
+  schema::AgentReport report;
+  report.service_name = "orders";
+  const std::string earlier_bytes = EncodeCompact(report);
+  const auto earlier = DecodeCompact<schema::AgentReport>(earlier_bytes);
+  REQUIRE(earlier.has_value());
+  CHECK_FALSE(earlier->lacks_slow_start_limit);
+  report.__set_lacks_slow_start_limit(true);
+  const std::string bytes = EncodeCompact(report);
+  CHECK(DecodeCompact<schema::AgentReport>(bytes)->lacks_slow_start_limit);
+  const auto read = DecodeCompact<EarlierReader<22>>(bytes);
+  REQUIRE(read.has_value());
+  CHECK(read->unknown == 1);
+  CHECK(read->known == DecodeCompact<EarlierReader<22>>(earlier_bytes)->known);
+}
+
 }  // namespace
 }  // namespace sesamesaddle
--- a/packages/steering/include/steering/flow_agent.h
+++ b/packages/steering/include/steering/flow_agent.h
@@ -381,6 +381,11 @@
                  const schema::ZoneState& state);
   /** Whether the target may get a new flow: by its slots and its slow start. */
   bool HasRoom(TimePoint now) const;
+  /**
+   * Whether the target may be in slow start and no notice has told this process
+   * yet whether its service has a limit.
+   */
+  bool LacksLimit(TimePoint now) const;
   /** Counts a SYN that was queued for lack of room in the slow start. */
   void RecordHeldSyn(TimePoint now, const Endpoint& balancer);
   /**
@@ -504,8 +509,13 @@
   FlowMap flows_;
   SynQueue queue_;
   SlowStartLimiter slow_start_;
-  /** Version of the latest configuration that a notice named. */
+  /** Version of the latest configuration that a notice named; 0 if none did. */
   int64_t slow_start_version_ = 0;
+  /**
+   * A balancer's SYN has shown that the service has a limit. Until a notice
+   * names it, a target in slow start has no room.
+   */
+  bool limit_awaited_ = false;
   /** Duration of the service's slow start, from the notice. */
   Duration slow_start_duration_{};
   /**
--- a/packages/steering/include/steering/flow_balancer.h
+++ b/packages/steering/include/steering/flow_balancer.h
@@ -460,7 +460,7 @@
   /** Whether the agent needs a notice of its service's slow start limit. */
   bool LacksLimit(TimePoint now, const AgentView& agent) const;
   /** Returns when this balancer learned what LacksLimit is about. */
-  TimePoint LimitKnownSince(const AgentView& agent) const;
+  TimePoint LimitKnownSince(TimePoint now, const AgentView& agent) const;
   /** Sends the limit before the first SYN to a target in slow start. */
   void NotifyBeforeSyn(TimePoint now, AgentView& agent);
   /** Returns what the agent needs of the operators' settings. */
--- a/packages/steering/src/flow_agent.cc
+++ b/packages/steering/src/flow_agent.cc
@@ -119,6 +119,7 @@
   if (!retransmission && RefuseIfEvacuated(now, balancer, flow, packet, size)) {
     return;
   }
+  if (header.tag.kind == HopKind::kOffer) limit_awaited_ = true;
   const int slots = target_monitor_.announcement().slots;
   const SynTimes times = SynTimes::Unpack(header.echo);
   if (queue_.RecordCopy(flow, header.acknowledged)) return;
--- a/packages/steering/src/flow_agent_reports.cc
+++ b/packages/steering/src/flow_agent_reports.cc
@@ -211,6 +211,7 @@
     report.__set_slow_start_room(
         static_cast<int32_t>(*balancer_state.reported_room));
   }
+  if (LacksLimit(now)) report.__set_lacks_slow_start_limit(true);
   report.restarting = stopping_ && !target_monitor_.gone();
   balancer_state.packets_since_report = false;
   balancer_state.report_owed = false;
--- a/packages/steering/src/flow_agent_slow_start.cc
+++ b/packages/steering/src/flow_agent_slow_start.cc
@@ -14,13 +14,24 @@
 
 bool FlowAgent::HasRoom(TimePoint now) const {
   const int slots = target_monitor_.announcement().slots;
+  if (limit_awaited_ && LacksLimit(now)) return false;
   return SynQueue::HasRoom(in_flight_ + expected_requests_, slots) &&
          slow_start_.HasRoom(now);
 }
 
+bool FlowAgent::LacksLimit(TimePoint now) const {
+  if (slow_start_version_ > 0) return false;
+  return !target_monitor_.known() || slow_start_.Cold(now);
+}
+
 void FlowAgent::RecordHeldSyn(TimePoint now, const Endpoint& balancer) {
-  if (slow_start_.HasRoom(now)) return;
+  const bool awaits_limit = limit_awaited_ && LacksLimit(now);
+  if (!awaits_limit && slow_start_.HasRoom(now)) return;
   ++counters_.held_slow_start;
+  if (awaits_limit) {
+    RecordUrgentContact(now, balancer);  // The balancer replies with the limit.
+    return;
+  }
   // A balancer that knows of room sends further SYNs, which would wait, too.
   if (balancers_[balancer].reported_room != 0) {
     RecordUrgentContact(now, balancer);
@@ -102,6 +113,7 @@
     slow_start_.ClearLimit();
   }
   UpdateLimited(now);
+  DispatchQueue(now);
   return true;
 }
 
--- a/packages/steering/src/flow_balancer.cc
+++ b/packages/steering/src/flow_balancer.cc
@@ -263,7 +263,10 @@
 void FlowBalancer::ForwardSyn(TimePoint now, AgentView& agent,
                               std::string packet, uint8_t priority,
                               SynTimes times) {
-  WriteSynHop(codec_, agent.service, priority, times, packet);
+  const bool limited =
+      routes_.FindSlowStart(agent.record.service_name) != nullptr;
+  WriteSynHop(codec_, limited ? HopKind::kOffer : HopKind::kDirect,
+              agent.service, priority, times, packet);
   agent.last_packet = now;
   directory_.RecordReportRequest(now, agent);
   output_.ToAgent(agent.agent, packet);
--- a/packages/steering/src/flow_balancer_notices.cc
+++ b/packages/steering/src/flow_balancer_notices.cc
@@ -86,7 +86,7 @@
   if (LacksNotice(agent, report)) {
     notices_.OnOutdated(now, agent.agent, zones_.Find(zone)->known_since);
   } else if (LacksLimit(now, agent)) {
-    notices_.OnOutdated(now, agent.agent, LimitKnownSince(agent));
+    notices_.OnOutdated(now, agent.agent, LimitKnownSince(now, agent));
     // Until the notice arrives, the agent delivers flows without a limit.
     SendNotices(now);
   } else {
--- a/packages/steering/src/flow_balancer_slow_start.cc
+++ b/packages/steering/src/flow_balancer_slow_start.cc
@@ -41,12 +41,13 @@
 }
 
 bool FlowBalancer::LacksLimit(TimePoint now, const AgentView& agent) const {
+  const SlowStart* limit = routes_.FindSlowStart(agent.record.service_name);
+  if (agent.lacks_limit && limit != nullptr) return true;
   // An agent whose target is warm by now never shows room.
   if (agent.limit_notices >= NoticeSchedule::kMaxNotices &&
       now - agent.last_limit_notice < kUnconfirmedNoticePeriod) {
     return false;
   }
-  const SlowStart* limit = routes_.FindSlowStart(agent.record.service_name);
   const auto& room = agent.slow_start_room;
   if (limit == nullptr) return room.has_value();
   if (!room && InSlowStart(now, agent)) return true;
@@ -60,7 +61,10 @@
          notices_.IsNotifierOf(agent.agent);
 }
 
-TimePoint FlowBalancer::LimitKnownSince(const AgentView& agent) const {
+TimePoint FlowBalancer::LimitKnownSince(TimePoint now,
+                                        const AgentView& agent) const {
+  // The agent has been sent it by nobody: no notifier has a head start.
+  if (agent.lacks_limit) return now - NoticeSchedule::kNotifierHeadStart;
   const auto change = limit_changes_.find(agent.record.service_name);
   if (change == limit_changes_.end()) return agent.slow_start_since;
   return std::max(agent.slow_start_since, change->second.since);
--- a/packages/steering/tests/flow_agent_slow_start_test.cc
+++ b/packages/steering/tests/flow_agent_slow_start_test.cc
@@ -79,14 +79,16 @@
     agent.OnNotice(now, kBalancer, notice);
   }
 
-  void Syn(TimePoint now, uint32_t flow, uint32_t copies = 0) {
+  /** @param kind  kOffer from a balancer whose configuration has a limit */
+  void Syn(TimePoint now, uint32_t flow, uint32_t copies = 0,
+           HopKind kind = HopKind::kDirect) {
     PacketHeader header;
     header.source = MakeFlow(flow).caller;
     header.destination = MakeFlow(flow).service;
     header.syn = true;
     header.sequence = 77;
     header.acknowledged = copies;
-    header.tag = {HopKind::kDirect, ServiceCheck("orders")};
+    header.tag = {kind, ServiceCheck("orders")};
     std::string packet = TestPacketCodec::Encode(header);
     agent.OnBalancerPacket(now, kBalancer, packet.data(), packet.size());
     AnswerDelivered(now);
@@ -211,6 +213,49 @@
   CHECK(one.agent.counters().held_slow_start == 2);
 }
 
+// Guards against a cold target that gets all flows before the first notice.
+TEST_CASE("A cold target gets no offered SYN before the limit is known") {
+  SingleAgent single;
+  single.Announce(kNow, 20000, 1);
+  single.Syn(kNow, 1, 0, HopKind::kOffer);
+  single.Syn(kNow, 2, 0, HopKind::kOffer);
+  CHECK(single.output.to_target == 0);
+  CHECK(single.agent.urgent());
+  single.Tick(kNow + FlowAgent::kUrgentReportDelay);
+  REQUIRE(single.output.reports.size() == 1);
+  CHECK(single.output.reports.back().lacks_slow_start_limit);
+  SECTION("it becomes known") {
+    single.Notify(kNow + milliseconds(5), 1, 4);
+    CHECK(single.output.to_target == 1);
+    single.Tick(kNow + milliseconds(60));
+    CHECK_FALSE(single.output.reports.back().lacks_slow_start_limit);
+    CHECK(single.output.reports.back().slow_start_room == 0);
+  }
+  SECTION("a later configuration has none") {
+    schema::AgentNotice notice;
+    notice.configuration_version = 5;
+    single.agent.OnNotice(kNow + milliseconds(5), kBalancer, notice);
+    CHECK(single.output.to_target == 2);
+  }
+  SECTION("no notice arrives") {
+    single.Tick(kNow + milliseconds(200));
+    CHECK(single.output.to_target == 0);
+    CHECK(single.output.returned ==
+          std::vector{HopKind::kYielded, HopKind::kYielded});
+  }
+}
+
+TEST_CASE("A warm target gets offered SYNs, a cold one those without a limit") {
+  SingleAgent single;
+  single.Announce(kNow, 0, 1);
+  single.Syn(kNow, 1, 0, HopKind::kOffer);
+  CHECK(single.output.to_target == 1);
+  SingleAgent cold;
+  cold.Announce(kNow, 20000, 1);
+  cold.Syn(kNow, 1);
+  CHECK(cold.output.to_target == 1);
+}
+
 TEST_CASE("A copy of a delivered SYN does not count again") {
   SingleAgent one;
   one.Announce(kNow, 20000, 1);
--- a/packages/steering/tests/slow_start_test.cc
+++ b/packages/steering/tests/slow_start_test.cc
@@ -241,6 +241,28 @@
   CHECK(MostPerSecond(*world.targets[0]) <= kLimit);
 }
 
+// Guards against a cold target, back after a loss of power, that gets flows
+// without a limit until balancers have read the entry of its new process.
+TEST_CASE("A target that returns with its agent is limited before its entry") {
+  LimitedWorld world(4, 4);
+  for (int i = 0; i < 40; ++i) world.AddClient(false);
+  SendRequests(world, seconds(1), milliseconds(100));
+  world.KillAgent(0);
+  world.targets[0]->Crash();
+  SendRequests(world, milliseconds(500), milliseconds(100));
+  world.stale_balancers = {0, 1, 2, 3};
+  world.StartAgent(0);
+  SECTION("and starts at once") { world.StartCold(0); }
+  SECTION("and starts after its agent") {
+    SendRequests(world, milliseconds(200), milliseconds(100));
+    world.StartCold(0);
+  }
+  SendRequests(world, seconds(2), milliseconds(20));
+  CHECK(MostPerSecond(*world.targets[0]) <= kLimit);
+  CHECK(world.targets[0]->accepted_flows >= kLimit);
+  CHECK(world.agent(0)->slow_start().limit() == kLimit);
+}
+
 TEST_CASE("Flows overflow to another service if a cold one has no room") {
   LimitedWorld world(2, 2);
   world.split = SplitMode::kOverflow;
--- a/packages/steering/tests/target_rivals_test.cc
+++ b/packages/steering/tests/target_rivals_test.cc
@@ -172,7 +172,8 @@
   CHECK_FALSE(monitor.TakeFormerEnded());
 }
 
-TEST_CASE("A target whose clock was set back ends the former one when overdue") {
+TEST_CASE(
+    "A target whose clock was set back ends the former one when overdue") {
   TargetMonitor monitor = MakeMonitor();
   Send(monitor, kNow + milliseconds(100), Make("b", 4000, 1));
   Send(monitor, kNow + milliseconds(1200), Make("b", 4000, 2));
--- a/tests/fuzz/decoder_fuzz.cc
+++ b/tests/fuzz/decoder_fuzz.cc
@@ -85,8 +85,9 @@
   std::string packet = SamplePacket();
   constexpr size_t kFlagsOffset = 2;
   packet[kFlagsOffset] = 1;  // A SYN.
-  WriteSynHop(PlatformPacketCodec(), {ServiceHash("orders"), CheckWidth::kWide},
-              5, SynTimes(), packet);
+  WriteSynHop(PlatformPacketCodec(), HopKind::kDirect,
+              {ServiceHash("orders"), CheckWidth::kWide}, 5, SynTimes(),
+              packet);
   return packet;
 }
 
