Draw late, odd and repeated messages, starts and lost keys in generated orders

They now draw announcements and deregistrations that arrive late, twice or out of order; announcements of another writer with one field missing, mistyped or out of range, also as the first one that a restarted agent gets; targets that start again under a new or the same id, with their clock set back, behind a cut, or several at once after a loss of power, agents or targets first; addresses that another service uses; ports that clients use again; flows that pause for up to 14 s; keys taken away, unreadable and odd entries; and crashes of all or half of the balancers, the agents, or both, at once with any of these.

OrderJudge judges FLOW (a) and (b), ROUTE and FAILBACK by what clients and targets see, with the bounds and excuses of the users' rules. Each run prints how often each kind took effect.

Virtual targets answer the end of a flow, virtual clients ignore resets outside their window, as the protocol has it; entries may arrive late, and a closed port shows.

--- a/packages/flow_model/include/flow_model/packet.h
+++ b/packages/flow_model/include/flow_model/packet.h
@@ -14,10 +14,10 @@
 
 /** Purpose of a packet on one hop between the processes of the system. */
 enum class HopKind : uint8_t {
-  kNone = 0,    // From a client or a target.
-  kDirect = 1,  // Balancer to agent: deliver it to the target.
-  kOffer = 2,   // Balancer to agent: deliver it only if the target holds the
-               // flow; a SYN: see WriteSynHop.
+  kNone = 0,     // From a client or a target.
+  kDirect = 1,   // Balancer to agent: deliver it to the target.
+  kOffer = 2,    // Balancer to agent: deliver it only if the target holds the
+                 // flow; a SYN: see WriteSynHop.
   kRefused = 3,  // Agent to balancer: the SYN was refused.
   kNotHeld = 4,  // Agent to balancer: the target does not hold this flow.
   kYielded =
--- a/tests/open_flows/generated_order.cc
+++ b/tests/open_flows/generated_order.cc
@@ -1,6 +1,8 @@
 #include "generated_order.h"
 
+#include <algorithm>
 #include <cstdlib>
+#include <iostream>
 #include <utility>
 
 #include "flow_location/flow_locator.h"
@@ -15,6 +17,15 @@
 constexpr size_t kTargets = 6;
 constexpr size_t kKeptFlows = 24;
 constexpr size_t kShortFlows = 8;
+/** Clients in mixes with target events, whose new flows FAILBACK counts. */
+constexpr size_t kFrequentShortFlows = 16;
+/** Flows that may pause for nearly the idle timeout, of three. */
+constexpr uint64_t kMaxPauseMs = 14000;
+/** As on the users' pages: a batch of the watch of the store. */
+constexpr Duration kMaxListDelay = milliseconds(800);
+constexpr SlowStart kLimit{seconds(2), 4};
+/** One of this many events follows the one before at once. */
+constexpr uint64_t kImmediateEvents = 4;
 constexpr uint32_t kMaxRoutes = 4;
 constexpr size_t kMaxDeadMachines = 2;
 constexpr int kEvents = 50;
@@ -54,28 +65,34 @@
   return value == nullptr ? otherwise : std::stoull(value);
 }
 
+void PrintCounts(const OrderMix& mix, const EventCounts& counts) {
+  std::cout << mix.name << ":";
+  for (const auto& [event, count] : counts) {
+    std::cout << " " << NameOf(event) << " " << count.applied;
+    if (count.applied != count.drawn) std::cout << " of " << count.drawn;
+    std::cout << ";";
+  }
+  std::cout << "\n";
+}
+
 Endpoint RouteAddress(uint32_t number) {
   return Endpoint(SteeringWorld::RouteAddress().ip() + number, 443);
 }
 
 }  // namespace
 
-OrderMix AllEvents() {
-  OrderMix mix{"all events", {}};
-  for (uint8_t i = 0;
-       i <= static_cast<uint8_t>(OrderEvent::kSynCopyArrivesLate); ++i) {
-    mix.events.push_back(static_cast<OrderEvent>(i));
-  }
-  return mix;
-}
-
 GeneratedOrder::GeneratedOrder(uint64_t seed, const OrderMix& mix)
     : mix_(mix),
       random_(seed),
       world_(kBalancers, kTargets, seed),
       watch_(world_, kTellBound) {
   world_.datagrams_per_poll = kDatagramsPerPoll;
-  for (uint32_t i = 0; i < kKeptFlows + kShortFlows; ++i) {
+  const bool has_target_events =
+      std::any_of(mix.events.begin(), mix.events.end(), IsTargetEvent);
+  if (has_target_events) BeginTargets();
+  const size_t short_flows =
+      has_target_events ? kFrequentShortFlows : kShortFlows;
+  for (uint32_t i = 0; i < kKeptFlows + short_flows; ++i) {
     const bool kept = i < kKeptFlows;
     // Half of the flows are of the first route, the others of later ones.
     const uint32_t route = i % 2 == 0 ? 0 : i / 2 % kMaxRoutes;
@@ -85,12 +102,38 @@
   next_request_.resize(world_.clients.size());
 }
 
+void GeneratedOrder::BeginTargets() {
+  targets_ = std::make_unique<Targets>(world_, random_, watch_);
+  world_.max_list_delay = kMaxListDelay;
+  world_.closed_ports_show = true;
+  RouteTable table = world_.routes;
+  ++table.version;
+  table.slow_starts[SteeringWorld::kService] = kLimit;
+  world_.Configure(std::move(table));
+  targets_->judge.OnRouteAllowed(RouteAddress(0), SteeringWorld::kService);
+  targets_->events.Begin();
+}
+
+void GeneratedOrder::DrawEvent() {
+  const OrderEvent event = mix_.events[random_.Below(mix_.events.size())];
+  EventCount& count = counts_[event];
+  ++count.drawn;
+  if (!IsTargetEvent(event)) {
+    ++count.applied;
+    Apply(event);
+  } else if (targets_->events.Apply(event)) {
+    ++count.applied;
+  }
+}
+
 std::vector<std::string> GeneratedOrder::Play() {
   SendRequests();
   world_.RunFor(kWarmUp);
   for (int i = 0; i < kEvents; ++i) {
-    Apply(mix_.events[random_.Below(mix_.events.size())]);
-    world_.RunFor(milliseconds(random_.Below(kMaxEventGapMs)));
+    DrawEvent();
+    const bool immediate =
+        targets_ != nullptr && random_.Below(kImmediateEvents) == 0;
+    if (!immediate) world_.RunFor(milliseconds(random_.Below(kMaxEventGapMs)));
     watch_.Check();
   }
   EndFaults();
@@ -107,17 +150,25 @@
   const TimePoint now = world_.scheduler.Now();
   for (size_t i = 0; i < world_.clients.size(); ++i) {
     VirtualFlowClient& client = *world_.clients[i];
-    if (client.busy() || now < next_request_[i]) continue;
+    if (client.busy() || now < std::max(next_request_[i], paused_until_)) {
+      continue;
+    }
     const Endpoint service = client.flow().service;
     if (world_.routes.Find(service) == nullptr) continue;
     client.Request("r" + std::to_string(++requests_));
-    // Some flows are busy, others pause for longer than agents report.
-    next_request_[i] =
-        now + (i % 3 == 0 ? RandomMs(30, 60) : RandomMs(30, 6000));
+    next_request_[i] = now + PauseOf(i);
   }
   world_.scheduler.After(milliseconds(30), [this] { SendRequests(); });
 }
 
+Duration GeneratedOrder::PauseOf(size_t client) {
+  // Some flows are busy, others pause for longer than agents report.
+  if (client % 3 == 0) return RandomMs(30, 60);
+  if (targets_ == nullptr) return RandomMs(30, 6000);
+  if (client >= kKeptFlows) return RandomMs(30, 200);
+  return RandomMs(30, client % 3 == 1 ? kMaxPauseMs : 6000);
+}
+
 void GeneratedOrder::Apply(OrderEvent event) {
   const size_t balancer = random_.Below(kBalancers);
   const size_t target = random_.Below(kTargets);
@@ -184,9 +235,11 @@
 void GeneratedOrder::ApplyToLoad(OrderEvent event) {
   switch (event) {
     case OrderEvent::kLinksFail:
+      Tell([](OrderJudge& judge) { judge.OnLinksFail(); });
       world_.links = {0.05, 0.05, RandomMs(1, 100)};
       break;
     case OrderEvent::kLinksRecover:
+      Tell([](OrderJudge& judge) { judge.OnLinksRecover(); });
       world_.links = LinkFaults();
       break;
     case OrderEvent::kClientLinksFail:
@@ -195,7 +248,11 @@
     case OrderEvent::kClientLinksRecover:
       world_.loss = 0;
       break;
+    case OrderEvent::kClientsPause:
+      paused_until_ = world_.scheduler.Now() + RandomMs(6000, kMaxPauseMs);
+      break;
     case OrderEvent::kReportsDelayed:
+      Tell([](OrderJudge& judge) { judge.OnLinksFail(); });
       world_.report_delay = RandomMs(0, 150);
       break;
     case OrderEvent::kTargetsSlow:
@@ -221,10 +278,11 @@
   if (planned) {
     world_.RestartBalancer(i, gap);
   } else {
+    Tell([=](OrderJudge& judge) { judge.OnBalancerDisrupted(gap); });
     world_.out_of_rotation.insert(i);
     world_.KillBalancer(i);
     world_.scheduler.After(gap, [this, i] {
-      world_.StartBalancer(i);
+      if (world_.balancer(i) == nullptr) world_.StartBalancer(i);
       world_.out_of_rotation.erase(i);
     });
   }
@@ -235,6 +293,7 @@
 void GeneratedOrder::LoseEntry(size_t i, bool returns_soon) {
   if (world_.agent(i) == nullptr) return;
   world_.TakeEntryAway(i);
+  Tell([](OrderJudge& judge) { judge.OnStoreDisrupted(Duration::zero()); });
   if (!returns_soon) return;
   world_.scheduler.After(RandomMs(0, 2000),
                          [this, i] { world_.TellOfMissingEntry(i); });
@@ -251,6 +310,9 @@
   route.target_latency = milliseconds(100);
   route.kind =
       routes_ % 2 == 0 ? RequestKind::kRepeatable : RequestKind::kRunsOnce;
+  Tell([this](OrderJudge& judge) {
+    judge.OnRouteAllowed(RouteAddress(routes_), SteeringWorld::kService);
+  });
   table.routes[RouteAddress(routes_++)] = route;
   world_.routes = std::move(table);
   DeliverRoutes();
@@ -262,6 +324,7 @@
   ++world_.routes.version;
   world_.routes.routes.erase(address);
   dropped_.insert(address);
+  Tell([=](OrderJudge& judge) { judge.OnRouteDropped(address); });
   DeliverRoutes();
 }
 
@@ -288,6 +351,8 @@
   process.HoldUp(duration, random_.Below(2) == 0 ? HoldUpPlace::kBeforeTimers
                                                  : HoldUpPlace::kBeforePoll);
   watch_.OnSilence(duration);
+  // Whichever process it is, its machine is frozen.
+  Tell([=](OrderJudge& judge) { judge.OnBalancerDisrupted(duration); });
 }
 
 void GeneratedOrder::HoldUpOften(size_t balancer, int times) {
@@ -307,6 +372,7 @@
   } else {
     world_.CrashAgent(i, gap, announcement);
     watch_.OnSilence(gap);
+    Tell([=](OrderJudge& judge) { judge.OnTargetDisrupted(i, gap); });
   }
 }
 
@@ -336,15 +402,18 @@
 }
 
 void GeneratedOrder::PowerOff(size_t i) {
-  if (IsDead(i) || starting_.count(i) != 0) return;
+  if (IsDead(i) || Away(i)) return;
   if (dead_.size() == kMaxDeadMachines) return;
   watch_.OnDeath(i);
   dead_.insert(i);
   watch_.OnSilence(kTellBound, i);
+  if (targets_ != nullptr) targets_->events.OnMachineLost(i);
+  Tell([=](OrderJudge& judge) { judge.OnTargetDisrupted(i, kTellBound); });
   world_.PowerOff(i);
 }
 
 void GeneratedOrder::EndFaults() {
+  Tell([](OrderJudge& judge) { judge.OnLinksRecover(); });
   world_.links = LinkFaults();
   world_.loss = 0;
   world_.report_delay = Duration::zero();
@@ -357,9 +426,13 @@
 
 std::vector<std::string> GeneratedOrder::BrokenInvariants() const {
   std::vector<std::string> broken;
-  for (const WrongReset& reset : world_.wrong_resets) {
-    if (IsExcused(reset)) continue;
-    broken.push_back(reset.sender + ": " + reset.log_line);
+  if (targets_ != nullptr) {
+    broken = targets_->judge.Broken();
+  } else {
+    for (const WrongReset& reset : world_.wrong_resets) {
+      if (IsExcused(reset)) continue;
+      broken.push_back(reset.sender + ": " + reset.log_line);
+    }
   }
   if (watch_.pending() > 0) {
     broken.push_back("clients of dead targets still wait at the end");
@@ -372,15 +445,20 @@
   const uint64_t first = NumberFrom("SESAMESADDLE_FIRST_ORDER", 1);
   const uint64_t count = NumberFrom("SESAMESADDLE_ORDERS", kOrders);
   std::vector<std::string> failures;
+  EventCounts counts;
   for (uint64_t seed = first; seed < first + count; ++seed) {
     std::string lines;
-    for (const std::string& line : GeneratedOrder(seed, mix).Play()) {
-      lines += "\n  " + line;
+    GeneratedOrder order(seed, mix);
+    for (const std::string& line : order.Play()) lines += "\n  " + line;
+    for (const auto& [event, count] : order.counts()) {
+      counts[event].drawn += count.drawn;
+      counts[event].applied += count.applied;
     }
     if (lines.empty()) continue;
     failures.push_back(mix.name + ", seed " + std::to_string(seed) + ":" +
                        lines);
   }
+  PrintCounts(mix, counts);
   return failures;
 }
 
--- a/tests/open_flows/generated_order.h
+++ b/tests/open_flows/generated_order.h
@@ -2,51 +2,27 @@
 #define SESAMESADDLE_TESTS_OPEN_FLOWS_GENERATED_ORDER_H_
 
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "core/random.h"
 #include "dead_flow_watch.h"
+#include "order_event.h"
+#include "order_judge.h"
 #include "steering_world.h"
+#include "target_events.h"
 
 namespace sesamesaddle {
 
-/** The kinds of events that an order consists of. */
-enum class OrderEvent : uint8_t {
-  kAgentRestarts,
-  kAgentCrashes,
-  kBalancerRestarts,
-  kBalancerCrashes,
-  kEntryTakenAway,
-  kEntryLapses,
-  kEntryWrittenAgain,
-  kRouteAdded,
-  kRouteDropped,
-  kBalancerReadsCopy,
-  kBalancerHeldUp,
-  kBalancerHeldUpOften,
-  kAgentHeldUp,
-  kLinksFail,
-  kLinksRecover,
-  kClientLinksFail,
-  kClientLinksRecover,
-  kReportsDelayed,
-  kTargetsSlow,
-  kTargetsFast,
-  kTargetDies,
-  kMachineDies,
-  kSynCopyArrivesLate,
+/** How often a kind of events was drawn, and how often it took effect. */
+struct EventCount {
+  int drawn = 0;
+  int applied = 0;
 };
-
-/** Kinds of events that are played together. */
-struct OrderMix {
-  std::string name;
-  std::vector<OrderEvent> events;
-};
-
-/** Returns the mix of all kinds. */
-OrderMix AllEvents();
+using EventCounts = std::map<OrderEvent, EventCount>;
 
 /**
  * A fleet with open and new flows, and a generated order of planned work and
@@ -58,9 +34,29 @@
 
   /** Plays the order and returns a line for each broken invariant. */
   std::vector<std::string> Play();
+  const EventCounts& counts() const { return counts_; }
 
  private:
+  /** Judges and target events, in mixes with any of these. */
+  struct Targets {
+    Targets(SteeringWorld& world, RandomSource& random, DeadFlowWatch& watch)
+        : judge(world), events(world, random, watch, judge) {}
+    OrderJudge judge;
+    TargetEvents events;
+  };
+
+  /** Draws an event and applies it. */
+  void DrawEvent();
   void Apply(OrderEvent event);
+  /** Sets up what mixes with target events need. */
+  void BeginTargets();
+  /** Returns the pause of a client after a request. */
+  Duration PauseOf(size_t client);
+  /** Calls the judge, if there is one. */
+  template <typename Call>
+  void Tell(Call call) {
+    if (targets_ != nullptr) call(targets_->judge);
+  }
   /** Applies an event of the network or of the targets' load. */
   void ApplyToLoad(OrderEvent event);
   void RestartBalancer(size_t i, bool planned);
@@ -86,13 +82,21 @@
     return std::chrono::milliseconds(from + random_.Below(to - from));
   }
   bool IsDead(size_t target) const { return dead_.count(target) != 0; }
+  bool Away(size_t target) const {
+    return starting_.count(target) != 0 ||
+           (targets_ != nullptr && targets_->events.Away(target));
+  }
 
   const OrderMix& mix_;
   SeededRandom random_;
   SteeringWorld world_;
   DeadFlowWatch watch_;
+  std::unique_ptr<Targets> targets_;
+  EventCounts counts_;
   /** Times before which clients send no further request. */
   std::vector<TimePoint> next_request_;
+  /** No client sends a further request before. */
+  TimePoint paused_until_{};
   int64_t requests_ = 0;
   /** Number of addresses that have or had a route. */
   uint32_t routes_ = 1;
@@ -104,7 +108,8 @@
 };
 
 /**
- * Plays generated orders, as many as the environment variable
+ * Plays generated orders and prints how often each kind of events took effect;
+ * as many as the environment variable
  * SESAMESADDLE_ORDERS says or else a few, from the seed in
  * SESAMESADDLE_FIRST_ORDER or else 1.
  * @return for each order that breaks an invariant its seed and the broken ones
--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -107,6 +107,8 @@
 }
 
 schema::TargetRecord SteeringWorld::Record(size_t i, bool draining) const {
+  const auto overwritten = overwritten_entries_.find(i);
+  if (overwritten != overwritten_entries_.end()) return overwritten->second;
   schema::TargetRecord record;
   record.id = "t" + std::to_string(i);
   record.born_ms = targets[i]->starts;
@@ -119,6 +121,12 @@
   const auto slow_start = listed_slow_start_ms_.find(i);
   record.slow_start_ms =
       slow_start == listed_slow_start_ms_.end() ? 0 : slow_start->second;
+  const auto published = published_.find(i);
+  if (published != published_.end()) {
+    record.id = published->second.id;
+    record.born_ms = published->second.born_ms;
+    record.slow_start_ms = published->second.slow_start_ms;
+  }
   if (listed_stopping_.count(i) != 0) record.__set_agent_stopping(true);
   if (agents_without_wide_check.count(i) == 0) {
     record.__set_reads_wide_check(true);
@@ -153,6 +161,11 @@
   return it == services_.end() ? kService : it->second;
 }
 
+void SteeringWorld::UseForService(size_t i, const std::string& service) {
+  services_[i] = service;
+  if (agents_[i] == nullptr) StartAgent(i);
+}
+
 void SteeringWorld::SetService(size_t i, const std::string& service) {
   services_[i] = service;
   targets[i]->Start();
@@ -184,6 +197,8 @@
 }
 
 void SteeringWorld::List(size_t i, bool draining) {
+  unusable_entries_.erase(i);
+  overwritten_entries_.erase(i);
   listed_[i] = ++revision_;
   listed_slow_start_ms_[i] = SlowStartMs(i);
   listed_stopping_.erase(i);
@@ -192,18 +207,27 @@
     if (balancer == nullptr || stale_balancers.count(balancer->index) != 0) {
       continue;
     }
-    balancer->process.Receive(
-        VirtualSocket::kStore,
-        [this, i, to = balancer.get(),
-         record = RecordFor(balancer->index, i, draining),
-         revision = StoreRevision(revision_)] {
-          to->directory.Put(scheduler.Now(), std::to_string(i), record,
-                            revision);
-          to->flows.OnAgentListed(scheduler.Now(), AgentAddress(i));
-        });
+    DeliverEntry(i, *balancer, RecordFor(balancer->index, i, draining));
   }
 }
 
+void SteeringWorld::DeliverEntry(size_t i, Balancer& balancer,
+                                 const schema::TargetRecord& record) {
+  const auto put = [this, i, record, to = &balancer,
+                    revision = StoreRevision(revision_)] {
+    to->directory.Put(scheduler.Now(), KeyOf(i), record, revision);
+    to->flows.OnAgentListed(scheduler.Now(), AgentAddress(i));
+  };
+  if (max_list_delay == Duration::zero()) {
+    balancer.process.Receive(VirtualSocket::kStore, put);
+    return;
+  }
+  Deliver(Duration(random.Below(max_list_delay.count())),
+          [to = &balancer, put] {
+            to->process.Receive(VirtualSocket::kStore, put);
+          });
+}
+
 void SteeringWorld::AnnounceStart(size_t i) {
   sequences_[i] = 0;
   Announce(i);
@@ -257,6 +281,13 @@
   });
 }
 
+TimePoint SteeringWorld::FirstSynOf(const Flow& flow) const {
+  const size_t client = flow.caller.ip() - 0x64400000;
+  if (client >= clients.size()) return {};
+  const bool current = clients[client]->flow() == flow;
+  return current ? clients[client]->attempt_began() : TimePoint();
+}
+
 void SteeringWorld::OnReset(std::string_view packet,
                             const std::string& sender) {
   ++resets;
@@ -264,12 +295,14 @@
   const Flow flow{header->destination, header->source};
   const size_t client = flow.caller.ip() - 0x64400000;
   if (client >= clients.size() ||
-      !clients[client]->HasFlow(flow.caller.port())) {
+      !clients[client]->HasFlow(flow.caller.port()) ||
+      !clients[client]->AcceptsReset(header->sequence)) {
     return;
   }
-  for (const auto& target : targets) {
-    if (target->HoldsOpen(flow)) {
-      wrong_resets.push_back({flow, sender, log_.last_line(), scheduler.Now()});
+  for (size_t index = 0; index < targets.size(); ++index) {
+    if (targets[index]->HoldsOpen(flow)) {
+      wrong_resets.push_back(
+          {flow, index, sender, log_.last_line(), scheduler.Now()});
     }
   }
 }
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -24,6 +24,8 @@
 /** A reset by the system of a flow that a living target held open. */
 struct WrongReset {
   Flow flow;
+  /** Target that holds the flow. */
+  size_t target = 0;
   /** "balancer" or "agent", and its index. */
   std::string sender;
   /** The sender's log line, with the reason. */
@@ -94,6 +96,11 @@
   /** Like Announce, as the first announcement after a start of the target. */
   void AnnounceStart(size_t i);
   void RemoveEntry(size_t i);
+  /**
+   * Lets another service use the address of a target that is gone: an agent of
+   * that service starts there.
+   */
+  void UseForService(size_t i, const std::string& service);
   /** Restarts the target as one of another service. */
   void SetService(size_t i, const std::string& service);
   /**
@@ -150,13 +157,34 @@
    * Cuts the power of the target's machine; its entry lapses with its lease.
    */
   void PowerOff(size_t i);
+  /** Returns the power to a machine, on which nothing runs yet. */
+  void PowerOn(size_t i) { machines_[i].powered = true; }
+  /**
+   * Writes the entry of the target that the agent takes for the one that runs,
+   * as its process does after an announcement that changes it.
+   */
+  void PublishTarget(size_t i);
+  /**
+   * Has another writer overwrite the entry under a living agent's key.
+   * @param record  what balancers read; nothing if they can use none
+   */
+  void OverwriteEntry(size_t i,
+                      const std::optional<schema::TargetRecord>& record);
+  /** Returns the key of the entry of the target's agent. */
+  static std::string KeyOf(size_t i) { return std::to_string(i); }
+  /** Returns the entry of the target as its agent writes it. */
+  schema::TargetRecord EntryOf(size_t i) const {
+    return Record(i, draining_.count(i) != 0);
+  }
   /** Whether the network reaches the agent's machine; it does at first. */
   void SetReachable(size_t i, bool reachable) {
     machines_[i].reachable = reachable;
   }
   MachineState StateOfMachine(size_t agent) const;
+  size_t balancer_count() const { return balancers_.size(); }
   VirtualProcess& balancer_process(size_t i);
   VirtualProcess& agent_process(size_t i);
+  std::string ServiceOf(size_t i) const;
   bool listed(size_t i) const { return listed_.count(i) != 0; }
   /** Returns the store's contents as they are now. */
   StoreCopy CopyStore() const {
@@ -168,6 +196,8 @@
   void FromClient(std::string packet);
   void FromTarget(size_t i, std::string packet);
   void ToClient(std::string packet);
+  /** Returns when the flow's client sent its first SYN; zero if unknown. */
+  TimePoint FirstSynOf(const Flow& flow) const;
   /** Called when a target takes or returns a packet of a flow. */
   void OnPacketAtTarget(size_t target, const Flow& flow, bool held);
 
@@ -202,6 +232,14 @@
       service_time;
   /** Of balancers and agents that start from now on. */
   AdmissionOptions admission;
+  /** Maximum delay of an entry on its way to a balancer. */
+  Duration max_list_delay{};
+  /** Whether agents learn that the port of a target that ended is closed. */
+  bool closed_ports_show = false;
+  /** Whether a target announces itself once its agent has restarted. */
+  bool announces_to_restarted_agents = true;
+  /** Called when a target begins to work on a request of the flow. */
+  std::function<void(size_t target, const Flow& flow)> on_request_run;
   /** While set, all agents' reports are lost. */
   bool lose_reports = false;
   /** Ends of the targets' slow starts, as they announce them. */
@@ -290,6 +328,13 @@
   /** The latest configuration that a single balancer got. */
   RouteTable newest_routes_;
 
+  /** Entries that another writer has overwritten, as balancers read them. */
+  std::map<size_t, schema::TargetRecord> overwritten_entries_;
+  /** Keys of agents under which an entry stands that no balancer can use. */
+  std::set<size_t> unusable_entries_;
+  /** What agents have published, if PublishTarget was called for them. */
+  std::map<size_t, TargetAnnouncement> published_;
+
   /** Targets whose entry the store lost while its lease lived. */
   std::set<size_t> taken_away_;
 
@@ -310,6 +355,8 @@
     if (taken_away_.count(i) != 0) TellOfMissingEntry(i);
   }
   void Deliver(Duration delay, std::function<void()> action);
+  void DeliverEntry(size_t i, Balancer& balancer,
+                    const schema::TargetRecord& record);
   /** Delivers a message between a balancer and the agent's machine. */
   void Transmit(size_t agent, Duration delay,
                 const std::function<void()>& action);
@@ -360,7 +407,6 @@
   std::vector<std::unique_ptr<Agent>> stopped_agents_;
   int64_t revision_ = 1;
   int64_t era_ = 0;
-  std::string ServiceOf(size_t i) const;
   std::string ZoneOf(size_t i) const;
 
   /** Services of targets that differ from kService. */
--- a/tests/support/steering_world_faults.cc
+++ b/tests/support/steering_world_faults.cc
@@ -58,8 +58,36 @@
   machines_[i].powered = false;
   targets[i]->Crash();
   if (agents_[i] != nullptr) KillAgent(i);
-  scheduler.After(kEntryLease, [this, i] {
-    if (listed(i)) RemoveEntry(i);
+  scheduler.After(kEntryLease, [this, i, entry = EntryRevision(i)] {
+    // The next process may have written another one.
+    if (entry && EntryRevision(i) == entry) RemoveEntry(i);
+  });
+}
+
+void SteeringWorld::PublishTarget(size_t i) {
+  const TargetMonitor& monitor = agent(i)->target_monitor();
+  published_[i] = monitor.announcement();
+  List(i, monitor.state() == schema::TargetState::kDraining);
+}
+
+void SteeringWorld::OverwriteEntry(
+    size_t i, const std::optional<schema::TargetRecord>& record) {
+  if (!listed(i)) return;
+  if (!record) {
+    TakeEntryAway(i);
+    unusable_entries_.insert(i);
+    return;
+  }
+  overwritten_entries_[i] = *record;
+  listed_[i] = ++revision_;
+  for (auto& balancer : balancers_) {
+    if (balancer != nullptr && stale_balancers.count(balancer->index) == 0) {
+      DeliverEntry(i, *balancer, *record);
+    }
+  }
+  scheduler.After(kVerifyPeriod, [this, i] {
+    if (overwritten_entries_.count(i) == 0 || agents_[i] == nullptr) return;
+    List(i, draining_.count(i) != 0);
   });
 }
 
@@ -115,6 +143,7 @@
       agent->flows.Recall(scheduler.Now(), record, complete);
     });
   }
+  if (!announces_to_restarted_agents) return;
   scheduler.After(announcement, [this, i] {
     if (agents_[i] != nullptr && targets[i]->alive) Announce(i);
   });
--- a/tests/support/steering_world_processes.cc
+++ b/tests/support/steering_world_processes.cc
@@ -127,6 +127,9 @@
         StoreRevision(revision));
     flows.OnAgentListed(world.scheduler.Now(), AgentAddress(target));
   }
+  for (const size_t target : world.unusable_entries_) {
+    flows.OnUnlistedAgent(world.scheduler.Now(), AgentAddress(target));
+  }
   if (world.stale_balancers.count(index) == 0) world.ReadZones(flows);
 }
 
--- a/tests/support/steering_world_processes.h
+++ b/tests/support/steering_world_processes.h
@@ -77,6 +77,7 @@
   void ToTarget(std::string_view packet) override {
     world.Deliver(kLocalDelay, [this, bytes = std::string(packet)] {
       world.targets[index]->OnPacket(bytes);
+      if (world.closed_ports_show) ReportClosedPort();
     });
   }
   void ToClient(const Endpoint& /*client*/, std::string_view packet) override {
@@ -89,6 +90,15 @@
   void ToBalancer(const Endpoint& balancer, std::string_view packet) override;
   void Report(const Endpoint& balancer,
               const schema::AgentReport& report) override;
+  /** Delivers the error of a packet to a port at which no target runs. */
+  void ReportClosedPort() {
+    if (world.targets[index]->alive || world.agents_[index].get() != this) {
+      return;
+    }
+    process.Receive(VirtualSocket::kPeerPackets, [this] {
+      flows.OnTargetUnreachable(world.scheduler.Now());
+    });
+  }
   void RunTimers() { flows.OnTick(world.scheduler.Now()); }
 
   SteeringWorld& world;
--- a/tests/support/virtual_flow_client.cc
+++ b/tests/support/virtual_flow_client.cc
@@ -13,6 +13,9 @@
 constexpr Duration kSynTimeout = std::chrono::milliseconds(1400);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(90);
 constexpr Duration kMaxRetransmissionInterval = std::chrono::milliseconds(1600);
+// A reset of an open flow counts if its sequence number is this close to what
+// the client acknowledged last.
+constexpr uint32_t kResetWindow = 76800;
 
 }  // namespace
 
@@ -27,6 +30,7 @@
 void VirtualFlowClient::StartAttempt() {
   const int64_t attempt = ++attempt_;
   ++results[id_].tries;
+  attempt_began_ = world_.scheduler.Now();
   if (open_) {
     SendRequest(attempt, kFirstRetransmission);
   } else {
@@ -82,6 +86,12 @@
   Send(header);
 }
 
+void VirtualFlowClient::CloseAndReusePort() {
+  if (busy_ || !open_) return;
+  Close();
+  --port_;  // The next attempt takes the one after it.
+}
+
 void VirtualFlowClient::RetransmitSyn() {
   if (!open_) return;
   PacketHeader header;
@@ -97,10 +107,17 @@
   world_.FromClient(TestPacketCodec::Encode(header, payload));
 }
 
+bool VirtualFlowClient::AcceptsReset(uint32_t sequence) const {
+  if (!open_) return true;
+  const uint32_t acknowledged = server_sequence_ + 1 + received_;
+  return sequence - acknowledged + kResetWindow <= 2 * kResetWindow;
+}
+
 void VirtualFlowClient::OnPacket(const PacketHeader& header,
                                  const std::string& payload) {
   if (header.destination.port() != port_) return;
   if (header.reset) {
+    if (!AcceptsReset(header.sequence)) return;
     if (busy_) {
       ++results[id_].resets;
       Fail(true);
--- a/tests/support/virtual_flow_client.h
+++ b/tests/support/virtual_flow_client.h
@@ -50,8 +50,14 @@
   Flow flow() const { return {Endpoint(address_, port_), route_}; }
   /** Returns when the current or latest request began. */
   TimePoint request_began() const { return began_; }
+  /** Returns when the latest attempt sent its first packet. */
+  TimePoint attempt_began() const { return attempt_began_; }
+  /** Whether a reset with that sequence number ends the current flow. */
+  bool AcceptsReset(uint32_t sequence) const;
   /** Closes the open flow, if any. */
   void Close();
+  /** Closes the open flow, if any, and opens the next one from its port. */
+  void CloseAndReusePort();
   /** Sends a late retransmission of the open flow's SYN. */
   void RetransmitSyn();
 
@@ -77,6 +83,7 @@
   int64_t attempt_ = 0;
   std::string id_;
   TimePoint began_{};
+  TimePoint attempt_began_{};
 };
 
 }  // namespace sesamesaddle
--- a/tests/support/virtual_target.cc
+++ b/tests/support/virtual_target.cc
@@ -11,25 +11,12 @@
   TestPacketCodec codec;
   const auto header = codec.Decode(packet);
   const Flow flow{header->source, header->destination};
-  const auto it = flows_.find(flow);
   if (header->syn) {
-    HeldFlow& held = flows_[flow];
-    if (it == flows_.end() || held.client_sequence != header->sequence) {
-      held = HeldFlow();
-      held.sequence = static_cast<uint32_t>(world_.random.Next());
-      held.client_sequence = header->sequence;
-      ++accepted_flows;
-      accepted_at.push_back(world_.scheduler.Now());
-    }
-    PacketHeader answer;
-    answer.source = flow.service;
-    answer.destination = flow.caller;
-    answer.syn = answer.ack = true;
-    answer.sequence = held.sequence;
-    world_.FromTarget(index_, TestPacketCodec::Encode(answer));
+    OnSyn(flow, header->sequence);
     return;
   }
   world_.OnPacketAtTarget(index_, flow, HoldsOpen(flow));
+  const auto it = flows_.find(flow);
   if (it == flows_.end()) {
     Return(std::move(packet));
     return;
@@ -40,6 +27,10 @@
     return;
   }
   held.open = true;
+  if (header->fin) {
+    Close(flow);
+    return;
+  }
   if (header->payload_bytes == 0) return;
   const std::string id = packet.substr(sizeof(PacketHeader));
   if (failing) {
@@ -58,10 +49,39 @@
     Answer({flow, id, 0}, "shed " + id);
     return;
   }
+  if (world_.on_request_run) world_.on_request_run(index_, flow);
   queue_.push_back({flow, id, 0});
   Serve();
 }
 
+void VirtualTarget::OnSyn(const Flow& flow, uint32_t sequence) {
+  const bool known = flows_.count(flow) != 0;
+  HeldFlow& held = flows_[flow];
+  if (!known || held.client_sequence != sequence) {
+    held = HeldFlow();
+    held.sequence = static_cast<uint32_t>(world_.random.Next());
+    held.client_sequence = sequence;
+    ++accepted_flows;
+    accepted_at.push_back(world_.scheduler.Now());
+    accepted_sent_at.push_back(world_.FirstSynOf(flow));
+  }
+  PacketHeader answer;
+  answer.source = flow.service;
+  answer.destination = flow.caller;
+  answer.syn = answer.ack = true;
+  answer.sequence = held.sequence;
+  world_.FromTarget(index_, TestPacketCodec::Encode(answer));
+}
+
+void VirtualTarget::Close(const Flow& flow) {
+  PacketHeader answer;
+  answer.source = flow.service;
+  answer.destination = flow.caller;
+  answer.ack = answer.fin = true;
+  world_.FromTarget(index_, TestPacketCodec::Encode(answer));
+  flows_.erase(flow);
+}
+
 bool VirtualTarget::HoldsOpen(const Flow& flow) const {
   const auto it = flows_.find(flow);
   return alive && it != flows_.end() && it->second.open;
--- a/tests/support/virtual_target.h
+++ b/tests/support/virtual_target.h
@@ -46,6 +46,8 @@
   int accepted_flows = 0;
   /** Times at which it accepted flows. */
   std::vector<TimePoint> accepted_at;
+  /** Times at which the clients of these flows sent the first SYN. */
+  std::vector<TimePoint> accepted_sent_at;
 
  private:
   struct HeldFlow {
@@ -59,7 +61,11 @@
     uint32_t acknowledged = 0;
   };
 
+  /** Accepts a new flow, or answers a copy of its SYN. */
+  void OnSyn(const Flow& flow, uint32_t sequence);
   void Serve();
+  /** Answers the end of a flow that its client has closed. */
+  void Close(const Flow& flow);
   void Answer(const Request& request, const std::string& result);
   void Return(std::string packet);
 
