--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -325,7 +325,8 @@
     const auto header = codec_.Decode(packet);
     const size_t index = header->destination.ip() - 0x64400000;
     if (index >= clients.size()) return;
-    clients[index]->OnPacket(*header, packet.substr(sizeof(PacketHeader)));
+    clients[index]->OnPacket(*header,
+                             packet.substr(TestPacketCodec::kHeaderBytes));
   });
 }
 
--- a/tests/support/steering_world_processes.cc
+++ b/tests/support/steering_world_processes.cc
@@ -2,8 +2,6 @@
 
 #include "steering_world_processes.h"
 
-#include <cstring>
-
 #include "schema/codec.h"
 
 namespace sesamesaddle {
@@ -18,9 +16,8 @@
 
 /** Whether a version without the wide check takes the packet for malformed. */
 bool HasWideCheck(const std::string& packet) {
-  PacketHeader header;
-  std::memcpy(&header, packet.data(), sizeof(header));
-  return header.tag.kind > HopKind::kYielded;
+  const auto kind = static_cast<HopKind>(packet[TestPacketCodec::kKind]);
+  return kind > HopKind::kYielded;
 }
 
 }  // namespace
--- a/tests/support/virtual_target.cc
+++ b/tests/support/virtual_target.cc
@@ -32,7 +32,7 @@
     return;
   }
   if (header->payload_bytes == 0) return;
-  const std::string id = packet.substr(sizeof(PacketHeader));
+  const std::string id = packet.substr(TestPacketCodec::kHeaderBytes);
   if (failing) {
     ++errors;
     Answer({flow, id, 0}, "!");
@@ -119,8 +119,9 @@
   PacketHeader header = *codec.Decode(packet);
   header.returned = true;
   header.tag = HopTag();
-  world_.FromTarget(
-      index_, TestPacketCodec::Encode(header, packet.substr(sizeof(header))));
+  world_.FromTarget(index_,
+                    TestPacketCodec::Encode(
+                        header, packet.substr(TestPacketCodec::kHeaderBytes)));
 }
 
 void VirtualTarget::Crash() {
