--- a/packages/placement/include/placement/target_directory.h
+++ b/packages/placement/include/placement/target_directory.h
@@ -39,7 +39,10 @@
    * nothing if its agent does not limit it.
    */
   std::optional<int> slow_start_room;
-  /** The agent has been told of no limit, as last reported. */
+  /**
+   * No notice has told the agent yet whether its service has a limit, as last
+   * reported.
+   */
   bool lacks_limit = false;
   /** Version of the configuration whose limit this balancer last sent. */
   int64_t limit_sent = 0;
--- a/packages/steering/src/flow_balancer_notices.cc
+++ b/packages/steering/src/flow_balancer_notices.cc
@@ -87,7 +87,8 @@
     notices_.OnOutdated(now, agent.agent, zones_.Find(zone)->known_since);
   } else if (LacksLimit(now, agent)) {
     notices_.OnOutdated(now, agent.agent, LimitKnownSince(now, agent));
-    // Until the notice arrives, the agent delivers flows without a limit.
+    // Until the notice arrives, the agent holds new flows, or delivers them
+    // without the limit.
     SendNotices(now);
   } else {
     notices_.OnConfirmed(agent.agent);
--- a/tests/open_flows/order_judge.cc
+++ b/tests/open_flows/order_judge.cc
@@ -86,12 +86,12 @@
   };
   int most = 0;
   for (size_t first = 0; first < at.size(); ++first) {
+    const TimePoint begin = sent[first];
     int count = 0;
-    for (size_t i = first; i < at.size() && at[i] - at[first] < kSecond; ++i) {
-      if (cold(at[i]) && sent[i] >= at[first]) ++count;
+    for (size_t i = first; i < at.size() && at[i] - begin < kSecond; ++i) {
+      if (cold(at[i]) && sent[i] >= begin) ++count;
     }
-    // The window begins with a SYN that was sent then, a little earlier.
-    most = std::max(most, count + 1);
+    most = std::max(most, count);
   }
   return most;
 }
