Count for each kind of events of a generated order how often it took effect

Which events are drawn and what they do is unchanged: the orders of all mixes give the results of before.

--- a/tests/open_flows/generated_order.cc
+++ b/tests/open_flows/generated_order.cc
@@ -118,12 +118,9 @@
   const OrderEvent event = mix_.events[random_.Below(mix_.events.size())];
   EventCount& count = counts_[event];
   ++count.drawn;
-  if (!IsTargetEvent(event)) {
-    ++count.applied;
-    Apply(event);
-  } else if (targets_->events.Apply(event)) {
-    ++count.applied;
-  }
+  const bool applied =
+      IsTargetEvent(event) ? targets_->events.Apply(event) : Apply(event);
+  if (applied) ++count.applied;
 }
 
 std::vector<std::string> GeneratedOrder::Play() {
@@ -169,66 +166,55 @@
   return RandomMs(30, client % 3 == 1 ? kMaxPauseMs : 6000);
 }
 
-void GeneratedOrder::Apply(OrderEvent event) {
+bool GeneratedOrder::Apply(OrderEvent event) {
   const size_t balancer = random_.Below(kBalancers);
   const size_t target = random_.Below(kTargets);
   const bool agent_runs = world_.agent(target) != nullptr;
   switch (event) {
     case OrderEvent::kAgentRestarts:
-      RestartAgent(target, true);
-      break;
+      return RestartAgent(target, true);
     case OrderEvent::kAgentCrashes:
-      RestartAgent(target, false);
-      break;
+      return RestartAgent(target, false);
     case OrderEvent::kBalancerRestarts:
-      RestartBalancer(balancer, true);
-      break;
+      return RestartBalancer(balancer, true);
     case OrderEvent::kBalancerCrashes:
-      RestartBalancer(balancer, false);
-      break;
+      return RestartBalancer(balancer, false);
     case OrderEvent::kEntryTakenAway:
-      LoseEntry(target, false);
-      break;
+      return LoseEntry(target, false);
     case OrderEvent::kEntryLapses:
-      LoseEntry(target, true);
-      break;
+      return LoseEntry(target, true);
     case OrderEvent::kEntryWrittenAgain:
-      if (agent_runs && world_.listed(target)) world_.List(target);
-      break;
+      if (!agent_runs || !world_.listed(target)) return false;
+      world_.List(target);
+      return true;
     case OrderEvent::kRouteAdded:
-      AddRoute();
-      break;
+      return AddRoute();
     case OrderEvent::kRouteDropped:
-      DropRoute();
-      break;
+      return DropRoute();
     case OrderEvent::kBalancerReadsCopy:
-      ReadCopy(balancer);
-      break;
+      return ReadCopy(balancer);
     case OrderEvent::kBalancerHeldUp:
-      if (world_.balancer(balancer) != nullptr) {
-        HoldUp(world_.balancer_process(balancer), RandomMs(100, 3000));
-      }
-      break;
+      if (world_.balancer(balancer) == nullptr) return false;
+      HoldUp(world_.balancer_process(balancer), RandomMs(100, 3000));
+      return true;
     case OrderEvent::kBalancerHeldUpOften:
-      HoldUpOften(balancer, 3 + static_cast<int>(random_.Below(6)));
-      break;
+      return HoldUpOften(balancer, 3 + static_cast<int>(random_.Below(6)));
     case OrderEvent::kAgentHeldUp:
-      if (agent_runs) {
-        HoldUp(world_.agent_process(target), RandomMs(100, 3000));
-      }
-      break;
+      if (!agent_runs) return false;
+      HoldUp(world_.agent_process(target), RandomMs(100, 3000));
+      return true;
     case OrderEvent::kTargetDies:
-      KillTarget(target);
-      break;
+      return KillTarget(target);
     case OrderEvent::kMachineDies:
-      PowerOff(target);
-      break;
-    case OrderEvent::kSynCopyArrivesLate:
-      world_.clients[random_.Below(kKeptFlows)]->RetransmitSyn();
-      break;
+      return PowerOff(target);
+    case OrderEvent::kSynCopyArrivesLate: {
+      VirtualFlowClient& client = *world_.clients[random_.Below(kKeptFlows)];
+      client.RetransmitSyn();
+      return client.has_flow();
+    }
     default:
       ApplyToLoad(event);
-      break;
+      return true;
   }
 }
 
@@ -266,12 +252,12 @@
   }
 }
 
-void GeneratedOrder::RestartBalancer(size_t i, bool planned) {
+bool GeneratedOrder::RestartBalancer(size_t i, bool planned) {
   if (world_.balancer(i) == nullptr || world_.out_of_rotation.count(i) != 0) {
-    return;
+    return false;
   }
   // The routers always have another one.
-  if (world_.out_of_rotation.size() + 2 > kBalancers) return;
+  if (world_.out_of_rotation.size() + 2 > kBalancers) return false;
   // The new process starts with a peer's configuration, which may be old.
   world_.routes_at_start[i] = world_.routes;
   const Duration gap = RandomMs(100, 1000);
@@ -288,19 +274,21 @@
   }
   world_.scheduler.After(
       seconds(4), [this, i] { world_.ConfigureBalancer(i, world_.routes); });
+  return true;
 }
 
-void GeneratedOrder::LoseEntry(size_t i, bool returns_soon) {
-  if (world_.agent(i) == nullptr) return;
+bool GeneratedOrder::LoseEntry(size_t i, bool returns_soon) {
+  if (world_.agent(i) == nullptr) return false;
   world_.TakeEntryAway(i);
   Tell([](OrderJudge& judge) { judge.OnStoreDisrupted(Duration::zero()); });
-  if (!returns_soon) return;
+  if (!returns_soon) return true;
   world_.scheduler.After(RandomMs(0, 2000),
                          [this, i] { world_.TellOfMissingEntry(i); });
+  return true;
 }
 
-void GeneratedOrder::AddRoute() {
-  if (routes_ == kMaxRoutes) return;
+bool GeneratedOrder::AddRoute() {
+  if (routes_ == kMaxRoutes) return false;
   RouteTable table = world_.routes;
   ++table.version;
   Route route;
@@ -316,16 +304,18 @@
   table.routes[RouteAddress(routes_++)] = route;
   world_.routes = std::move(table);
   DeliverRoutes();
+  return true;
 }
 
-void GeneratedOrder::DropRoute() {
+bool GeneratedOrder::DropRoute() {
   const Endpoint address = RouteAddress(1 + random_.Below(kMaxRoutes - 1));
-  if (world_.routes.routes.count(address) == 0) return;
+  if (world_.routes.routes.count(address) == 0) return false;
   ++world_.routes.version;
   world_.routes.routes.erase(address);
   dropped_.insert(address);
   Tell([=](OrderJudge& judge) { judge.OnRouteDropped(address); });
   DeliverRoutes();
+  return true;
 }
 
 void GeneratedOrder::DeliverRoutes() {
@@ -336,8 +326,8 @@
   }
 }
 
-void GeneratedOrder::ReadCopy(size_t balancer) {
-  if (!world_.stale_balancers.empty()) return;
+bool GeneratedOrder::ReadCopy(size_t balancer) {
+  if (!world_.stale_balancers.empty()) return false;
   world_.peer_copy = world_.CopyStore();
   world_.stale_balancers.insert(balancer);
   world_.scheduler.After(RandomMs(200, 2000), [this, balancer] {
@@ -345,6 +335,7 @@
     world_.peer_copy.reset();
     world_.Synchronize(balancer);
   });
+  return true;
 }
 
 void GeneratedOrder::HoldUp(VirtualProcess& process, Duration duration) {
@@ -355,15 +346,16 @@
   Tell([=](OrderJudge& judge) { judge.OnBalancerDisrupted(duration); });
 }
 
-void GeneratedOrder::HoldUpOften(size_t balancer, int times) {
-  if (times == 0 || world_.balancer(balancer) == nullptr) return;
+bool GeneratedOrder::HoldUpOften(size_t balancer, int times) {
+  if (times == 0 || world_.balancer(balancer) == nullptr) return false;
   const Duration duration = RandomMs(100, 480);
   HoldUp(world_.balancer_process(balancer), duration);
   world_.scheduler.After(duration, [=] { HoldUpOften(balancer, times - 1); });
+  return true;
 }
 
-void GeneratedOrder::RestartAgent(size_t i, bool planned) {
-  if (world_.agent(i) == nullptr) return;
+bool GeneratedOrder::RestartAgent(size_t i, bool planned) {
+  if (world_.agent(i) == nullptr) return false;
   const Duration gap = planned ? RandomMs(500, 1000) : RandomMs(100, 1000);
   const Duration announcement = RandomMs(0, kMaxAnnounceMs);
   if (planned) {
@@ -374,10 +366,11 @@
     watch_.OnSilence(gap);
     Tell([=](OrderJudge& judge) { judge.OnTargetDisrupted(i, gap); });
   }
+  return true;
 }
 
-void GeneratedOrder::KillTarget(size_t i) {
-  if (world_.agent(i) == nullptr || !world_.targets[i]->alive) return;
+bool GeneratedOrder::KillTarget(size_t i) {
+  if (world_.agent(i) == nullptr || !world_.targets[i]->alive) return false;
   watch_.OnDeath(i);
   world_.targets[i]->Crash();
   starting_.insert(i);
@@ -387,6 +380,7 @@
     world_.scheduler.After(RandomMs(0, kMaxAnnounceMs),
                            [this, i] { AnnounceNewTarget(i); });
   });
+  return true;
 }
 
 void GeneratedOrder::AnnounceNewTarget(size_t i) {
@@ -401,15 +395,16 @@
   watch_.OnDeathShown(i);
 }
 
-void GeneratedOrder::PowerOff(size_t i) {
-  if (IsDead(i) || Away(i)) return;
-  if (dead_.size() == kMaxDeadMachines) return;
+bool GeneratedOrder::PowerOff(size_t i) {
+  if (IsDead(i) || Away(i)) return false;
+  if (dead_.size() == kMaxDeadMachines) return false;
   watch_.OnDeath(i);
   dead_.insert(i);
   watch_.OnSilence(kTellBound, i);
   if (targets_ != nullptr) targets_->events.OnMachineLost(i);
   Tell([=](OrderJudge& judge) { judge.OnTargetDisrupted(i, kTellBound); });
   world_.PowerOff(i);
+  return true;
 }
 
 void GeneratedOrder::EndFaults() {
--- a/tests/open_flows/generated_order.h
+++ b/tests/open_flows/generated_order.h
@@ -47,7 +47,11 @@
 
   /** Draws an event and applies it. */
   void DrawEvent();
-  void Apply(OrderEvent event);
+  /**
+   * Applies an event.
+   * @return whether it could take effect
+   */
+  bool Apply(OrderEvent event);
   /** Sets up what mixes with target events need. */
   void BeginTargets();
   /** Returns the pause of a client after a request. */
@@ -59,21 +63,21 @@
   }
   /** Applies an event of the network or of the targets' load. */
   void ApplyToLoad(OrderEvent event);
-  void RestartBalancer(size_t i, bool planned);
-  void LoseEntry(size_t i, bool returns_soon);
-  void AddRoute();
-  void DropRoute();
+  bool RestartBalancer(size_t i, bool planned);
+  bool LoseEntry(size_t i, bool returns_soon);
+  bool AddRoute();
+  bool DropRoute();
   /** Delivers the newest configuration to all balancers, late and unordered. */
   void DeliverRoutes();
-  void ReadCopy(size_t balancer);
+  bool ReadCopy(size_t balancer);
   void HoldUp(VirtualProcess& process, Duration duration);
   /** Holds a balancer up again and again, each time after one poll. */
-  void HoldUpOften(size_t balancer, int times);
+  bool HoldUpOften(size_t balancer, int times);
   /** Has an agent away from the beginning of its stop, or from its crash. */
-  void RestartAgent(size_t i, bool planned);
-  void KillTarget(size_t i);
+  bool RestartAgent(size_t i, bool planned);
+  bool KillTarget(size_t i);
   void AnnounceNewTarget(size_t i);
-  void PowerOff(size_t i);
+  bool PowerOff(size_t i);
   void EndFaults();
   void SendRequests();
   bool IsExcused(const WrongReset& reset) const;
