Tell the connections of virtual targets apart, and repeat only what was sent

The response to a call of another writer, or on an earlier connection, moved the earliest time of a target's later calls, which hid orders in which the agent knows less of it; and after a deregistration an announcement could be repeated that was never sent.

--- a/tests/open_flows/target_announcements.cc
+++ b/tests/open_flows/target_announcements.cc
@@ -62,7 +62,7 @@
 }
 
 void TargetAnnouncements::AnnouncePeriodically(size_t i) {
-  if (world_.targets[i]->alive) Send(i, MakeCall(i), HeldUp(i));
+  if (world_.targets[i]->alive) Send(i, MakeAnnouncement(i), HeldUp(i));
   world_.scheduler.After(
       milliseconds(kMinAnnounceMs +
                    random_.Below(kMaxAnnounceMs - kMinAnnounceMs)),
@@ -88,7 +88,7 @@
   world_.scheduler.After(delay, [this, i, incarnation] {
     const VirtualTarget& target = *world_.targets[i];
     if (!target.alive || target.starts != incarnation) return;
-    Send(i, MakeCall(i), HeldUp(i));
+    Send(i, MakeAnnouncement(i), HeldUp(i));
   });
 }
 
@@ -97,7 +97,7 @@
 }
 
 void TargetAnnouncements::SendLate(size_t i, Duration delay) {
-  if (world_.targets[i]->alive) Send(i, MakeCall(i), delay);
+  if (world_.targets[i]->alive) Send(i, MakeAnnouncement(i), delay);
 }
 
 void TargetAnnouncements::Repeat(size_t i, Duration delay) {
@@ -105,9 +105,7 @@
 }
 
 void TargetAnnouncements::Deregister(size_t i, Duration delay) {
-  Call call = MakeCall(i);
-  call.body.clear();
-  Send(i, call, delay);
+  Send(i, MakeCall(i), delay);
 }
 
 void TargetAnnouncements::SendOdd(size_t i, int calls) {
@@ -135,10 +133,6 @@
                          [=] { SendOddCalls(i, oddity, calls - 1); });
 }
 
-bool TargetAnnouncements::Cold(size_t i) const {
-  return world_.scheduler.Now() < senders_[i].cold_until;
-}
-
 Duration TargetAnnouncements::HeldUp(size_t i) const {
   const TimePoint now = world_.scheduler.Now();
   if (cut_until_[i] <= now) return Duration::zero();
@@ -150,12 +144,18 @@
   // A call that waits for too long is made again on another connection.
   if (connection.agent != world_.agent(i) || connection.waiting) {
     connection = Connection();
+    connection.number = ++last_connection_;
     connection.agent = world_.agent(i);
     connection.sent_after = world_.scheduler.Now();
   }
   connection.waiting = true;
+  return {senders_[i].id, "", connection.sent_after, connection.number};
+}
+
+TargetAnnouncements::Call TargetAnnouncements::MakeAnnouncement(size_t i) {
+  latest_[i] = MakeCall(i);
   ++senders_[i].sequence;
-  latest_[i] = {senders_[i].id, BodyOf(i, senders_[i]), connection.sent_after};
+  latest_[i].body = BodyOf(i, senders_[i]);
   return latest_[i];
 }
 
@@ -172,8 +172,7 @@
 
 void TargetAnnouncements::Handle(size_t i, FlowAgent& agent, const Call& call) {
   const TimePoint now = world_.scheduler.Now();
-  ++delivered_;
-  if (call.id == senders_[i].id && connections_[i].agent == &agent) {
+  if (call.connection == connections_[i].number) {
     connections_[i].sent_after = now;
     connections_[i].waiting = false;
   }
@@ -186,13 +185,11 @@
   const auto heartbeat = ParseHeartbeat(call.id, call.body);
   if (!heartbeat || heartbeat->address != AddressOf(i) ||
       heartbeat->announcement.service != world_.ServiceOf(i)) {
-    ++malformed_;
     return;
   }
   TargetAnnouncement announcement = heartbeat->announcement;
   announcement.sent_after = call.sent_after;
   const AnnouncementEffect effect = agent.OnAnnouncement(now, announcement);
-  if (effect == AnnouncementEffect::kStale) ++stale_;
   const bool published = effect == AnnouncementEffect::kChanged ||
                          effect == AnnouncementEffect::kNewIncarnation;
   if (published) world_.PublishTarget(i);
--- a/tests/open_flows/target_announcements.h
+++ b/tests/open_flows/target_announcements.h
@@ -53,12 +53,6 @@
    */
   void SendOdd(size_t i, int calls);
 
-  /** Whether the target is in slow start. */
-  bool Cold(size_t i) const;
-  int64_t delivered() const { return delivered_; }
-  int64_t stale() const { return stale_; }
-  int64_t malformed() const { return malformed_; }
-
  private:
   /** One incarnation of a target. */
   struct Sender {
@@ -69,6 +63,7 @@
   };
   /** What an agent's HTTP server knows of a connection. */
   struct Connection {
+    int64_t number = 0;
     const FlowAgent* agent = nullptr;
     /** Later one of its start and its last response. */
     TimePoint sent_after{};
@@ -77,13 +72,18 @@
   };
   struct Call {
     std::string id;
+    /** Empty for a deregistration. */
     std::string body;
     TimePoint sent_after{};
+    /** Number of the target's connection; 0 for another writer's. */
+    int64_t connection = 0;
   };
 
   void AnnouncePeriodically(size_t i);
-  /** Returns the next announcement of the target, on its connection. */
+  /** Returns a call of the target on its connection, without a body. */
   Call MakeCall(size_t i);
+  /** Returns the next announcement of the target, on its connection. */
+  Call MakeAnnouncement(size_t i);
   /** Returns the time for which calls of the target are held up now. */
   Duration HeldUp(size_t i) const;
   void Send(size_t i, const Call& call, Duration delay);
@@ -110,9 +110,7 @@
   std::vector<Call> latest_;
   int incarnations_ = 0;
   int64_t odd_sequence_ = 1000;
-  int64_t delivered_ = 0;
-  int64_t stale_ = 0;
-  int64_t malformed_ = 0;
+  int64_t last_connection_ = 0;
 };
 
 }  // namespace sesamesaddle
--- a/tests/open_flows/target_events.h
+++ b/tests/open_flows/target_events.h
@@ -30,7 +30,6 @@
    * @return whether it could take effect
    */
   bool Apply(OrderEvent event);
-  const TargetAnnouncements& announcements() const { return announcements_; }
   /** Called when a machine is lost for good. */
   void OnMachineLost(size_t i) { away_.insert(i); }
   /** Whether the target is about to start or its machine is lost. */
