Look clients up, name keys and answer flows in one place in the test support

SteeringWorld computed a client's index from its address in three places and wrote the key of an entry in two ways, and VirtualTarget filled in the header of an answer three times. Each has one function now.

--- a/tests/support/steering_world.cc
+++ b/tests/support/steering_world.cc
@@ -9,6 +9,7 @@
 
 // One-way delays as in the users' network.
 constexpr Duration kClientDelay = std::chrono::milliseconds(1);
+constexpr uint32_t kFirstClientAddress = 0x64400000;
 constexpr Duration kTickPeriod = std::chrono::milliseconds(10);
 
 }  // namespace
@@ -240,8 +241,8 @@
     if (balancer == nullptr) continue;
     balancer->process.Receive(
         VirtualSocket::kStore, [this, i, revision, to = balancer.get()] {
-          const auto agent = to->directory.Remove(
-              scheduler.Now(), std::to_string(i), StoreRevision(revision));
+          const auto agent = to->directory.Remove(scheduler.Now(), KeyOf(i),
+                                                  StoreRevision(revision));
           if (agent) to->flows.OnAgentUnlisted(scheduler.Now(), *agent);
         });
   }
@@ -249,7 +250,8 @@
 
 VirtualFlowClient& SteeringWorld::AddClient(bool keeps_flow,
                                             const Endpoint& route) {
-  const auto address = static_cast<uint32_t>(0x64400000 + clients.size());
+  const auto address =
+      static_cast<uint32_t>(kFirstClientAddress + clients.size());
   clients.push_back(
       std::make_unique<VirtualFlowClient>(*this, address, route, keeps_flow));
   return *clients.back();
@@ -281,11 +283,15 @@
   });
 }
 
+VirtualFlowClient* SteeringWorld::FindClient(const Endpoint& caller) const {
+  const size_t index = caller.ip() - kFirstClientAddress;
+  return index < clients.size() ? clients[index].get() : nullptr;
+}
+
 TimePoint SteeringWorld::FirstSynOf(const Flow& flow) const {
-  const size_t client = flow.caller.ip() - 0x64400000;
-  if (client >= clients.size()) return {};
-  const bool current = clients[client]->flow() == flow;
-  return current ? clients[client]->attempt_began() : TimePoint();
+  const VirtualFlowClient* client = FindClient(flow.caller);
+  const bool current = client != nullptr && client->flow() == flow;
+  return current ? client->attempt_began() : TimePoint();
 }
 
 void SteeringWorld::OnReset(std::string_view packet,
@@ -293,10 +299,9 @@
   ++resets;
   const auto header = codec_.Decode(packet);
   const Flow flow{header->destination, header->source};
-  const size_t client = flow.caller.ip() - 0x64400000;
-  if (client >= clients.size() ||
-      !clients[client]->HasFlow(flow.caller.port()) ||
-      !clients[client]->AcceptsReset(header->sequence)) {
+  const VirtualFlowClient* client = FindClient(flow.caller);
+  if (client == nullptr || !client->HasFlow(flow.caller.port()) ||
+      !client->AcceptsReset(header->sequence)) {
     return;
   }
   for (size_t index = 0; index < targets.size(); ++index) {
@@ -323,10 +328,9 @@
   if (static_cast<double>(random.Below(1000)) < loss * 1000) return;
   Deliver(kClientDelay, [this, packet] {
     const auto header = codec_.Decode(packet);
-    const size_t index = header->destination.ip() - 0x64400000;
-    if (index >= clients.size()) return;
-    clients[index]->OnPacket(*header,
-                             packet.substr(TestPacketCodec::kHeaderBytes));
+    VirtualFlowClient* client = FindClient(header->destination);
+    if (client == nullptr) return;
+    client->OnPacket(*header, packet.substr(TestPacketCodec::kHeaderBytes));
   });
 }
 
--- a/tests/support/steering_world.h
+++ b/tests/support/steering_world.h
@@ -196,6 +196,8 @@
   void FromClient(std::string packet);
   void FromTarget(size_t i, std::string packet);
   void ToClient(std::string packet);
+  /** Returns the client of that address, or null. */
+  VirtualFlowClient* FindClient(const Endpoint& caller) const;
   /** Returns when the flow's client sent its first SYN; zero if unknown. */
   TimePoint FirstSynOf(const Flow& flow) const;
   /** Called when a target takes or returns a packet of a flow. */
--- a/tests/support/steering_world_processes.cc
+++ b/tests/support/steering_world_processes.cc
@@ -119,7 +119,7 @@
 void SteeringWorld::Balancer::ReadDirectory() {
   for (const auto& [target, revision] : world.listed_) {
     directory.Put(
-        world.scheduler.Now(), std::to_string(target),
+        world.scheduler.Now(), KeyOf(target),
         world.RecordFor(index, target, world.draining_.count(target) != 0),
         StoreRevision(revision));
     flows.OnAgentListed(world.scheduler.Now(), AgentAddress(target));
@@ -135,13 +135,13 @@
   for (size_t target = 0; target < world.targets.size(); ++target) {
     const auto entry = copy.listed.find(target);
     if (entry == copy.listed.end()) {
-      const auto agent = directory.Remove(now, std::to_string(target),
-                                          StoreRevision(copy.revision));
+      const auto agent =
+          directory.Remove(now, KeyOf(target), StoreRevision(copy.revision));
       if (agent) flows.OnAgentUnlisted(now, *agent);
       continue;
     }
     directory.Put(
-        now, std::to_string(target),
+        now, KeyOf(target),
         world.RecordFor(index, target, world.draining_.count(target) != 0),
         StoreRevision(entry->second));
     flows.OnAgentListed(now, AgentAddress(target));
--- a/tests/support/virtual_target.cc
+++ b/tests/support/virtual_target.cc
@@ -5,6 +5,18 @@
 #include "steering_world.h"
 
 namespace sesamesaddle {
+namespace {
+
+/** Returns the header of a packet from the target to the flow's client. */
+PacketHeader AnswerOn(const Flow& flow) {
+  PacketHeader header;
+  header.source = flow.service;
+  header.destination = flow.caller;
+  header.ack = true;
+  return header;
+}
+
+}  // namespace
 
 void VirtualTarget::OnPacket(std::string packet) {
   if (!alive) return;
@@ -65,19 +77,15 @@
     accepted_at.push_back(world_.scheduler.Now());
     accepted_sent_at.push_back(world_.FirstSynOf(flow));
   }
-  PacketHeader answer;
-  answer.source = flow.service;
-  answer.destination = flow.caller;
-  answer.syn = answer.ack = true;
+  PacketHeader answer = AnswerOn(flow);
+  answer.syn = true;
   answer.sequence = held.sequence;
   world_.FromTarget(index_, TestPacketCodec::Encode(answer));
 }
 
 void VirtualTarget::Close(const Flow& flow) {
-  PacketHeader answer;
-  answer.source = flow.service;
-  answer.destination = flow.caller;
-  answer.ack = answer.fin = true;
+  PacketHeader answer = AnswerOn(flow);
+  answer.fin = true;
   world_.FromTarget(index_, TestPacketCodec::Encode(answer));
   flows_.erase(flow);
 }
@@ -106,11 +114,8 @@
 }
 
 void VirtualTarget::Answer(const Request& request, const std::string& result) {
-  PacketHeader header;
-  header.source = request.flow.service;
-  header.destination = request.flow.caller;
-  header.ack = true;
-  world_.FromTarget(index_, TestPacketCodec::Encode(header, result));
+  world_.FromTarget(index_,
+                    TestPacketCodec::Encode(AnswerOn(request.flow), result));
 }
 
 void VirtualTarget::Return(std::string packet) {
